--- a/figfold/platform/client.py
+++ b/figfold/platform/client.py
@@ -1,25 +1,12 @@
 """Client of the platform's table service, object store and instance list, over HTTP."""
 
-import http.client
 from urllib.parse import quote, urlencode
 
-import urllib3
-from eventlet import Timeout as GreenTimeout
-from result import Err, Ok
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    EmptyPoolError,
-    HTTPError,
-    NewConnectionError,
-    ProtocolError,
-    ReadTimeoutError,
-)
+from result import Ok
 
-from figfold.core.codes import Code, Failure
+from figfold.core.codes import Code
 from figfold.platform.answers import (
     HTTP_NOT_MODIFIED,
-    Answer,
-    bad_answer,
     read_etag,
     read_listing,
     read_row,
@@ -27,14 +14,12 @@
     read_status,
     read_unchanged,
 )
+from figfold.platform.http import StoreHttp
 
 DEFAULT_TIMEOUT_S = 2.0
 DEFAULT_MAX_CONNECTIONS = 4
-ANSWER_LIMIT_BYTES = 8 << 20
 # Of the connections, those that bulk requests leave to the others.
 KEPT_CONNECTIONS = 3
-# Opening a connection may take this part of the whole time.
-CONNECT_PART = 0.5
 # After one of these, a write may or may not have taken effect: read the row to learn which.
 UNSETTLED_CODES = frozenset({Code.STORE_TIMEOUT, Code.STORE_ERROR, Code.STORE_BAD_ANSWER})
 
@@ -58,12 +43,10 @@
     Nothing is retried here: only the caller knows whether a repeated write is harmless.
     """
 
-    def __init__(self, pool, bulk_pool, bulk_prefixes, header_by_name, timeout_s, count):
-        self._pool = pool
-        self._bulk_pool = bulk_pool
+    def __init__(self, kept, bulk, bulk_prefixes, count):
+        self._kept = kept
+        self._bulk = bulk
         self._bulk_prefixes = bulk_prefixes
-        self._header_by_name = header_by_name
-        self._timeout_s = timeout_s
         self._count = count
 
     @classmethod
@@ -96,15 +79,15 @@
             keep some of the connections for themselves.
         """
         kept = min(KEPT_CONNECTIONS, max_connections // 2) if bulk_prefixes else 0
-        pool = _make_pool(url, kept or max_connections, timeout_s)
-        bulk_pool = _make_pool(url, max_connections - kept, timeout_s)
-        header_by_name = {"Figfold-From": entry, "Figfold-Place": place}
-        return cls(pool, bulk_pool, bulk_prefixes, header_by_name, timeout_s, count)
+        headers = {"Figfold-From": entry, "Figfold-Place": place}
+        pool = StoreHttp.from_config(url, kept or max_connections, timeout_s, headers)
+        bulk_pool = StoreHttp.from_config(url, max_connections - kept, timeout_s, headers)
+        return cls(pool, bulk_pool, bulk_prefixes, count)
 
     def close(self):
         """Close the idle connections."""
-        self._pool.close()
-        self._bulk_pool.close()
+        self._kept.close()
+        self._bulk.close()
 
     # Tables.
 
@@ -199,72 +182,8 @@
         return outcome
 
     def _exchange(self, operation, method, path, body=None, headers=None):
-        bound = GreenTimeout(self._timeout_s)
-        try:
-            return self._send(method, path, body, self._header_by_name | (headers or {}))
-        except GreenTimeout as timeout:
-            if timeout is not bound:
-                raise
-            # A connection may have been open, so the request may have left.
-            return _timed_out(operation, f"no answer within {self._timeout_s} s")
-        except (NewConnectionError, ConnectTimeoutError, EmptyPoolError) as error:
-            return _unreachable(operation, error)
-        except ReadTimeoutError as error:
-            return _timed_out(operation, error)
-        except ProtocolError as error:
-            return _from_protocol_error(operation, error)
-        except (HTTPError, http.client.HTTPException, ValueError) as error:
-            return bad_answer(f"{operation}: malformed answer", repr(error))
-        except OSError as error:
-            return _timed_out(operation, error)
-        finally:
-            bound.cancel()
-
-    def _send(self, method, path, body, headers):
-        pool = self._bulk_pool if path.startswith(self._bulk_prefixes) else self._pool
-        response = pool.urlopen(
-            method,
-            path,
-            body=body,
-            headers=headers,
-            redirect=False,
-            preload_content=False,
-            decode_content=False,
-            pool_timeout=self._timeout_s,
-        )
-        is_whole = False
-        try:
-            data = _read_whole(response)
-            is_whole = len(data) <= ANSWER_LIMIT_BYTES
-        finally:
-            if not is_whole:
-                response.close()
-            response.release_conn()
-        if not is_whole:
-            return bad_answer(f"answer of more than {ANSWER_LIMIT_BYTES} bytes")
-        header_by_name = {name.lower(): value for name, value in response.headers.items()}
-        return Ok(Answer(response.status, header_by_name, data))
-
-
-def _make_pool(url, connections, timeout_s):
-    return urllib3.connection_from_url(
-        url,
-        maxsize=connections,
-        block=True,
-        retries=False,
-        timeout=urllib3.Timeout(connect=timeout_s * CONNECT_PART, read=timeout_s),
-    )
-
-
-def _read_whole(response):
-    data = b""
-    while len(data) <= ANSWER_LIMIT_BYTES:
-        # Only a read that finds nothing checks the length; a short body raises there.
-        part = response.read(ANSWER_LIMIT_BYTES + 1 - len(data))
-        if not part:
-            break
-        data += part
-    return data
+        exchange = self._bulk if path.startswith(self._bulk_prefixes) else self._kept
+        return exchange.send(operation, method, path, body, headers)
 
 
 def _read_nothing(_answer):
@@ -277,22 +196,3 @@
 
 def _row_path(table, row):
     return f"/table/{_quoted(table)}/{_quoted(row)}"
-
-
-def _unreachable(operation, error):
-    message = f"{operation}: the platform cannot be reached: {error}"
-    return Err(Failure(Code.STORE_UNREACHABLE, message, "check the platform's address and health"))
-
-
-def _timed_out(operation, error):
-    message = f"{operation}: the platform's answer did not arrive: {error}"
-    return Err(Failure(Code.STORE_TIMEOUT, message, "read the row before writing it again"))
-
-
-def _from_protocol_error(operation, error):
-    cause = error.args[1] if len(error.args) > 1 else None
-    is_cut = isinstance(cause, ConnectionError | http.client.IncompleteRead)
-    # RemoteDisconnected, a connection closed without answer, is a ConnectionError as well.
-    if isinstance(cause, http.client.HTTPException) and not is_cut:
-        return bad_answer(f"{operation}: malformed answer", repr(cause))
-    return _timed_out(operation, error)
--- /dev/null
+++ b/figfold/platform/http.py
@@ -0,0 +1,133 @@
+"""One HTTP exchange with the platform's store, whose failures are numbered results."""
+
+import http.client
+
+import urllib3
+from attrs import define
+from eventlet import Timeout as GreenTimeout
+from result import Err, Ok
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    EmptyPoolError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+    ReadTimeoutError,
+)
+
+from figfold.core.codes import Code, Failure
+from figfold.platform.answers import Answer, bad_answer
+
+ANSWER_LIMIT_BYTES = 8 << 20
+# Opening a connection may take this part of the whole time.
+CONNECT_PART = 0.5
+
+
+@define(eq=False)
+class StoreHttp:
+    """Pooled connections to the store; nothing is retried here.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Bound on a whole exchange unless the call gives another.
+    """
+
+    pool: object
+    timeout_s: float
+    header_by_name: dict
+
+    @classmethod
+    def from_config(cls, url, connections, timeout_s, header_by_name):
+        """Return connections to ``http://host:port``; none is opened yet."""
+        pool = urllib3.connection_from_url(
+            url,
+            maxsize=connections,
+            block=True,
+            retries=False,
+            timeout=urllib3.Timeout(connect=timeout_s * CONNECT_PART, read=timeout_s),
+        )
+        return cls(pool, timeout_s, header_by_name)
+
+    def close(self):
+        """Close the idle connections."""
+        self.pool.close()
+
+    def send(self, operation, method, path, body=None, headers=None, timeout_s=None):
+        """Send a request and return Ok(Answer) or the failure; never raises for the answer."""
+        timeout_s = timeout_s or self.timeout_s
+        bound = GreenTimeout(timeout_s)
+        try:
+            return self._send(method, path, body, self.header_by_name | (headers or {}), timeout_s)
+        except GreenTimeout as timeout:
+            if timeout is not bound:
+                raise
+            # A connection may have been open, so the request may have left.
+            return _timed_out(operation, f"no answer within {timeout_s} s")
+        except (NewConnectionError, ConnectTimeoutError, EmptyPoolError) as error:
+            return _unreachable(operation, error)
+        except ReadTimeoutError as error:
+            return _timed_out(operation, error)
+        except ProtocolError as error:
+            return _from_protocol_error(operation, error)
+        except (HTTPError, http.client.HTTPException, ValueError) as error:
+            return bad_answer(f"{operation}: malformed answer", repr(error))
+        except OSError as error:
+            return _timed_out(operation, error)
+        finally:
+            bound.cancel()
+
+    def _send(self, method, path, body, headers, timeout_s):
+        response = self.pool.urlopen(
+            method,
+            path,
+            body=body,
+            headers=headers,
+            redirect=False,
+            preload_content=False,
+            decode_content=False,
+            pool_timeout=timeout_s,
+            timeout=urllib3.Timeout(connect=self.timeout_s * CONNECT_PART, read=timeout_s),
+        )
+        is_whole = False
+        try:
+            data = _read_whole(response)
+            is_whole = len(data) <= ANSWER_LIMIT_BYTES
+        finally:
+            if not is_whole:
+                response.close()
+            response.release_conn()
+        if not is_whole:
+            return bad_answer(f"answer of more than {ANSWER_LIMIT_BYTES} bytes")
+        header_by_name = {name.lower(): value for name, value in response.headers.items()}
+        return Ok(Answer(response.status, header_by_name, data))
+
+
+def _read_whole(response):
+    data = b""
+    while len(data) <= ANSWER_LIMIT_BYTES:
+        # Only a read that finds nothing checks the length; a short body raises there.
+        part = response.read(ANSWER_LIMIT_BYTES + 1 - len(data))
+        if not part:
+            break
+        data += part
+    return data
+
+
+def _unreachable(operation, error):
+    message = f"{operation}: the platform cannot be reached: {error}"
+    return Err(Failure(Code.STORE_UNREACHABLE, message, "check the platform's address and health"))
+
+
+def _timed_out(operation, error):
+    message = f"{operation}: the platform's answer did not arrive: {error}"
+    return Err(Failure(Code.STORE_TIMEOUT, message, "read the row before writing it again"))
+
+
+def _from_protocol_error(operation, error):
+    cause = error.args[1] if len(error.args) > 1 else None
+    is_cut = isinstance(cause, ConnectionError | http.client.IncompleteRead)
+    # RemoteDisconnected, a connection closed without answer, is a ConnectionError as well.
+    if isinstance(cause, http.client.HTTPException) and not is_cut:
+        return bad_answer(f"{operation}: malformed answer", repr(cause))
+    return _timed_out(operation, error)
