--- /dev/null
+++ b/figfold/config/gateway.py
@@ -0,0 +1,105 @@
+"""Settings of an entry on the users' platform, where the store holds routes and services."""
+
+from attrs import frozen
+from result import Err, Ok
+
+from figfold.config.options import read_options
+from figfold.config.reader import nearest
+from figfold.config.values import SectionReader
+from figfold.config.views import LogSettings, PeerSettings
+from figfold.core.codes import Code
+
+SECTION = "gateway"
+
+
+@frozen
+class GatewaySettings:
+    """The ``[gateway]`` section, the data centres, and how entries talk to each other.
+
+    Attributes
+    ----------
+    region_by_place : dict[str, str]
+        The region of each data centre.
+    """
+
+    name: str
+    place: str
+    caller_address: str
+    ready_address: str
+    lookup_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    store_timeout_s: float
+    server_read_interval_s: float
+    configuration_wait_s: float
+    stop_grace_s: float
+    lookup_ttl_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    region_by_place: dict
+    peers: PeerSettings
+    log: LogSettings
+
+    @property
+    def region(self):
+        """The region of this entry's data centre."""
+        return self.region_by_place[self.place]
+
+    @classmethod
+    def from_config(cls, section, region_by_place, peers, log):
+        """Read the section's options."""
+        return cls(
+            name=section.name("name"),
+            place=section.name("place"),
+            caller_address=section.address("caller_address"),
+            ready_address=section.address("ready_address"),
+            lookup_address=section.address("lookup_address"),
+            peer_address=section.address("peer_address"),
+            metrics_address=section.address("metrics_address"),
+            store_address=section.address("store_address"),
+            store_timeout_s=section.seconds("store_timeout_s"),
+            server_read_interval_s=section.seconds("server_read_interval_s"),
+            configuration_wait_s=section.seconds("configuration_wait_s"),
+            stop_grace_s=section.seconds("stop_grace_s"),
+            lookup_ttl_s=section.milliseconds("lookup_ttl_ms"),
+            retry_ratio=section.percent("retry_percent") / 100.0,
+            retry_window_s=section.seconds("retry_window_s"),
+            retry_slack=section.number("retry_slack"),
+            region_by_place=region_by_place,
+            peers=peers,
+            log=log,
+        )
+
+
+def load_gateway_settings(path, overrides=()):
+    """Load the settings of an entry on the users' platform.
+
+    Returns
+    -------
+    Result[GatewaySettings, list[Failure]]
+        The settings, or every fault that was found.
+    """
+    read = read_options(path, overrides)
+    if read.is_err():
+        return read
+    options = read.unwrap()
+    region_by_place = {
+        section.split()[1]: SectionReader(options, section).name("region")
+        for section in options.sections_of("place")
+    }
+    if not options.has(SECTION):
+        message, remedy = "section [gateway] is missing", "add a section [gateway]"
+        options.fail_section(SECTION, Code.SETTINGS_MISSING, message, remedy)
+        return Err(options.failures)
+    section = SectionReader(options, SECTION)
+    settings = GatewaySettings.from_config(
+        section,
+        region_by_place,
+        PeerSettings.from_config(SectionReader(options, "peers")),
+        LogSettings.from_config(SectionReader(options, "log")),
+    )
+    if settings.place and settings.place not in region_by_place:
+        section.fail("place", "unknown place", nearest(settings.place, list(region_by_place)))
+    return Err(options.failures) if options.failures else Ok(settings)
--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -72,6 +72,9 @@
     BODY_INCOMPLETE = 321
     CALLER_GONE = 322
     NO_ROOM = 323
+    NO_ROUTE = 324
+    NO_CONFIGURATION = 325
+    ENTRY_LEAVING = 326
 
     # Requests attempted at a backend server.
     CONNECT_FAILED = 401
@@ -82,6 +85,8 @@
     SERVER_BAD_ANSWER = 406
     ANSWER_NOT_KEPT = 407
     PEER_ENTRY_FAILED = 408
+    OTHER_SERVER = 409
+    FOREIGN_ANSWER = 410
 
     # Look-ups.
     LOOKUP_NO_ENTRY = 501
@@ -94,6 +99,7 @@
     STORE_MISSING = 604
     STORE_BAD_ANSWER = 605
     STORE_ERROR = 606
+    STORE_HISTORY_LOST = 607
 
     # Peers.
     PEER_MALFORMED = 701
--- /dev/null
+++ b/figfold/core/traffic/fleet.py
@@ -0,0 +1,185 @@
+"""Which backend servers exist and may be sent requests, as the store tells it."""
+
+from math import inf
+
+from attrs import Factory, define, frozen
+
+# An entry that is missing right after an outage of the store may only have lapsed meanwhile; live
+# servers are back within two seconds of its return.
+LAPSE_GRACE_S = 2.2
+# A cold time that the store tells was written up to a heartbeat and one reading ago.
+COLD_NEWS_S = 3.0
+
+
+@frozen
+class ServerRecord:
+    """What a backend server has registered of itself.
+
+    Attributes
+    ----------
+    cold_remaining_s : float
+        How much longer the server stays slow after its start, when it wrote this.
+    sequence : int
+        Number of its heartbeat since its start.
+    born_ms : int
+        Unix time of its start in milliseconds; another one means another process.
+    """
+
+    id: str
+    service: str
+    address: str
+    place: str
+    slots: int
+    is_leaving: bool = False
+    sequence: int = 0
+    cold_remaining_s: float = 0.0
+    born_ms: int = 0
+    software_version: str = ""
+
+
+@define
+class FleetServer:
+    """A registered server; times are monotonic seconds.
+
+    Attributes
+    ----------
+    seen_s : float
+        When its latest record was read.
+    cold_until_s : float
+        Until when it must be taken as cold.
+    missing_since_s : float or None
+        When it was first missing from the store after an outage.
+    """
+
+    record: ServerRecord
+    seen_s: float
+    cold_until_s: float = -inf
+    missing_since_s: float | None = None
+
+    def is_cold(self, now_s):
+        """Return whether the server bears only a few requests a second."""
+        return now_s < self.cold_until_s
+
+
+@define
+class Fleet:
+    """Registered servers by id, and the data centres that are being evacuated."""
+
+    server_by_id: dict[str, FleetServer] = Factory(dict)
+    evacuated_places: frozenset = frozenset()
+    is_known: bool = False
+    generation: int = 0
+    _evacuation_ended_s: dict[str, float] = Factory(dict)
+
+    def take_record(self, record, now_s):
+        """Take a server's record; return whether anything but its heartbeat changed."""
+        known = self.server_by_id.get(record.id)
+        if known is None or known.record.born_ms != record.born_ms:
+            server = FleetServer(record, now_s)
+            self.server_by_id[record.id] = server
+            self._note_cold(server, now_s)
+            self.generation += 1
+            return True
+        if record.sequence < known.record.sequence:
+            # An older word of the same process, from a reading that was overtaken.
+            return False
+        before = known.record
+        known.record = record
+        known.seen_s = now_s
+        known.missing_since_s = None
+        self._note_cold(known, now_s)
+        changed = (before.is_leaving, before.address, before.service, before.slots) != (
+            record.is_leaving,
+            record.address,
+            record.service,
+            record.slots,
+        )
+        self.generation += changed
+        return changed
+
+    def take_listing(self, records, now_s, after_outage):
+        """Take a whole reading; return the ids that are gone.
+
+        Parameters
+        ----------
+        records : iterable of ServerRecord
+        now_s : float
+        after_outage : bool
+            Whether the store was away until just now, so that live servers may be missing.
+        """
+        ids = set()
+        for record in records:
+            ids.add(record.id)
+            self.take_record(record, now_s)
+        self.is_known = True
+        missing = [one for one in self.server_by_id if one not in ids]
+        return [one for one in missing if self.take_removal(one, now_s, after_outage)]
+
+    def take_removal(self, server_id, now_s, after_outage):
+        """Take that a server's entry is missing; return whether it is gone for good."""
+        server = self.server_by_id.get(server_id)
+        if server is None:
+            return False
+        if after_outage and not server.record.is_leaving:
+            if server.missing_since_s is None:
+                server.missing_since_s = now_s
+            return False
+        del self.server_by_id[server_id]
+        self.generation += 1
+        return True
+
+    def drop_missing(self, now_s):
+        """Forget the servers that are still missing some time after an outage; return their ids."""
+        gone = [
+            one
+            for one, server in self.server_by_id.items()
+            if server.missing_since_s is not None
+            and now_s - server.missing_since_s >= LAPSE_GRACE_S
+        ]
+        for one in gone:
+            del self.server_by_id[one]
+        self.generation += len(gone)
+        return gone
+
+    def set_evacuated(self, places, now_s):
+        """Take the data centres that nothing may be sent to; return whether they changed."""
+        places = frozenset(places)
+        if places == self.evacuated_places:
+            return False
+        for place in self.evacuated_places - places:
+            for server in self.server_by_id.values():
+                if server.record.place == place:
+                    # It may have become cold during the evacuation, and tell so a little later.
+                    server.cold_until_s = max(server.cold_until_s, now_s + COLD_NEWS_S)
+        self.evacuated_places = places
+        self.generation += 1
+        return True
+
+    def usable(self, service):
+        """Return the servers of a service that may be sent requests."""
+        return [
+            server
+            for server in self.server_by_id.values()
+            if server.record.service == service
+            and not server.record.is_leaving
+            and server.record.place not in self.evacuated_places
+        ]
+
+    def may_send(self, server_id):
+        """Return whether the server may be sent a request at this moment."""
+        server = self.server_by_id.get(server_id)
+        return (
+            server is not None
+            and not server.record.is_leaving
+            and server.record.place not in self.evacuated_places
+        )
+
+    def suspect_cold(self, server_id, until_s):
+        """Take a server as cold: it has failed and may have started again."""
+        server = self.server_by_id.get(server_id)
+        if server is not None:
+            server.cold_until_s = max(server.cold_until_s, until_s)
+
+    def _note_cold(self, server, now_s):
+        if server.record.cold_remaining_s > 0.0:
+            server.cold_until_s = max(server.cold_until_s, now_s + server.record.cold_remaining_s)
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -5,9 +5,12 @@
 silenced one of them may have silenced all.
 """
 
+import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from http.client import HTTPException
+from math import inf
 
 from attrs import Factory, define, frozen
 from eventlet import Timeout
@@ -22,6 +25,9 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_LIMIT_PER_ADDRESS = 16
 READ_SIZE_BYTES = 64 * 1024
+# A request must arrive before the server closes the connection: the slowest way there and back.
+KEEP_ALIVE_MARGIN_S = 1.0
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 # The largest answer taken from a server that does not tell the length beforehand.
 UNSIZED_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 HOP_BY_HOP = frozenset(
@@ -53,15 +59,30 @@
 class _Idle:
     connection: HTTPConnection
     since_s: float
+    limit_s: float
+
+
+def _own_deadline(_name, left_s):
+    """Return the header that tells a backend server or an entry how much time is left."""
+    return (("Figfold-Deadline-Ms", str(max(1, int(left_s * MS_PER_S)))),)
 
 
 @define
 class Connections:
-    """Idle connections by address."""
+    """Idle connections by address.
+
+    Attributes
+    ----------
+    headers_at_send : callable
+        ``(name, left_s)``, the headers that depend on the server and on the time left.
+    """
 
     idle_limit_s: float
     buffer_bytes: int
     idle_by_address: dict[str, deque] = Factory(dict)
+    headers_at_send: Callable = _own_deadline
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    opened: int = 0
 
     def exchange(self, address, request, timeout_s, fresh=False, name=""):
         """Send one request and read its answer.
@@ -86,7 +107,8 @@
         connection = None if fresh else self._take_idle(address)
         is_fresh = connection is None
         if is_fresh:
-            connection = _open(address, min(timeout_s, CONNECT_TIMEOUT_S))
+            self.opened += 1
+            connection = _open(address, min(timeout_s, self.connect_timeout_s))
         left_s = ends_s - now_s()
         if connection is None or left_s <= 0.0:
             _close(connection)
@@ -96,12 +118,16 @@
                 answer = self._send_and_read(connection, address, request, name, left_s)
         except (Timeout, OSError, HTTPError, HTTPException, ValueError, TypeError) as error:
             return Err(self._failed(connection, address, _code_of(error), is_fresh))
+        except BaseException:
+            # The attempt was cancelled; a server stops work when its connection closes.
+            connection.close()
+            raise
         return Ok(answer)
 
     def close_idle(self, now):
         """Close the connections that have been idle for too long."""
         for address, idle in list(self.idle_by_address.items()):
-            while idle and now - idle[0].since_s > self.idle_limit_s:
+            while idle and now - idle[0].since_s > idle[0].limit_s:
                 idle.popleft().connection.close()
             if not idle:
                 del self.idle_by_address[address]
@@ -115,18 +141,18 @@
         idle = self.idle_by_address.get(address)
         while idle:
             candidate = idle.pop()
-            young = now_s() - candidate.since_s <= self.idle_limit_s
+            young = now_s() - candidate.since_s <= candidate.limit_s
             if young and candidate.connection.is_connected:
                 return candidate.connection
             candidate.connection.close()
         return None
 
-    def _give_back(self, connection, address):
+    def _give_back(self, connection, address, limit_s):
         idle = self.idle_by_address.setdefault(address, deque())
         if len(idle) >= IDLE_LIMIT_PER_ADDRESS:
             connection.close()
             return
-        idle.append(_Idle(connection, now_s()))
+        idle.append(_Idle(connection, now_s(), limit_s))
 
     def _failed(self, connection, address, code, fresh):
         connection.close()
@@ -136,7 +162,7 @@
 
     def _send_and_read(self, connection, address, request, name, timeout_s):
         method, target, headers, body = request
-        headers += (("Figfold-Deadline-Ms", str(max(1, int(timeout_s * MS_PER_S)))),)
+        headers += self.headers_at_send(name, timeout_s)
         connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
         connection.request(
@@ -192,7 +218,14 @@
         if closing or response.version < 11 or connection.sock is None:
             connection.close()
             return
-        self._give_back(connection, address)
+        limit_s = min(self.idle_limit_s, _kept_s(response.headers.get("Keep-Alive", "")))
+        self._give_back(connection, address, limit_s)
+
+
+def _kept_s(keep_alive):
+    """Return how long an idle connection may be used whose server closes it after a time."""
+    told = KEEP_ALIVE_TIMEOUT.search(keep_alive)
+    return max(0.0, int(told.group(1)) - KEEP_ALIVE_MARGIN_S) if told else inf
 
 
 def _content_length(response):
--- /dev/null
+++ b/figfold/gateway/apps.py
@@ -0,0 +1,332 @@
+"""The HTTP applications of an entry: requests, readiness, look-ups of entries, and metrics."""
+
+import json
+from collections.abc import Callable
+from hashlib import sha256
+from socket import MSG_DONTWAIT, MSG_PEEK
+from urllib.parse import parse_qs
+
+import eventlet
+from attrs import define
+from eventlet.hubs import trampoline
+
+from figfold.core.codes import Code
+from figfold.entry.clock import now_s
+from figfold.entry.connections import HOP_BY_HOP
+from figfold.entry.http_protocol import make_protocol
+from figfold.gateway.runner import FinalRefusal, GatewayRequest
+from figfold.platform.exchange import (
+    is_set_by_entry,
+    lookup_body,
+    read_request_head,
+    refusal_headers,
+)
+
+# Keys of the environment of an application.
+RAW_TARGET = "figfold.target"
+CONNECTION = "figfold.connection"
+RAW_HEADERS = "headers_raw"
+# How long a request may take whose caller does not say how long it waits.
+DEFAULT_TIME_S = 30.0
+ADDRESS_LIMIT = 64  # The most entries that one answer names.
+HTTP_STATUS_BY_CODE = {
+    Code.NO_ROUTE: "404 Not Found",
+    Code.BAD_REQUEST: "400 Bad Request",
+    Code.BODY_TOO_LARGE: "413 Content Too Large",
+}
+NOT_RUN_STATUS = "503 Service Unavailable"
+TIMEOUT_STATUS = "504 Gateway Timeout"
+FAILED_STATUS = "502 Bad Gateway"
+TEXT = ("Content-Type", "text/plain")
+
+
+def make_gateway_protocol(metrics):
+    """Return the protocol class of the request port."""
+
+    class GatewayProtocol(make_protocol(metrics)):
+        """Keeps what an application needs of the request line and of the connection."""
+
+        def get_environ(self):
+            environ = super().get_environ()
+            # The target as it was sent: the parsed one loses escapes and an empty query.
+            environ[RAW_TARGET] = self.path
+            environ[CONNECTION] = self.connection
+            return environ
+
+    return GatewayProtocol
+
+
+@define(eq=False)
+class RequestApp:
+    """WSGI application of the request port.
+
+    Attributes
+    ----------
+    serve : callable
+        ``(GatewayRequest, watch_caller) -> Result[ServerAnswer, FinalRefusal]``.
+    stage : callable
+        ``serving``, ``leaving`` (connections end after their answer) or ``closed`` (requests are
+        refused as not run).
+    """
+
+    serve: Callable
+    stage: Callable
+    metrics: object
+    log: object
+    body_limit: Callable
+    in_progress: int = 0
+
+    def __call__(self, environ, start_response):
+        """Answer one request; it counts as in progress until its last byte is written."""
+        self.in_progress += 1
+        try:
+            parts = self._answer(environ, start_response)
+        except BaseException:
+            self.in_progress -= 1
+            raise
+        return _Parts(parts, self._note_written)
+
+    def _note_written(self):
+        self.in_progress -= 1
+
+    def _answer(self, environ, start_response):
+        started = now_s()
+        read = _read_request(environ, started, self.body_limit())
+        if isinstance(read, FinalRefusal):
+            return self._refuse(None, read, started, start_response)
+        if self.stage() == "closed":
+            refusal = FinalRefusal(Code.ENTRY_LEAVING, True, "leaving", 0.0)
+            return self._refuse(read, refusal, started, start_response)
+        result = self.serve(read, _watcher(environ[CONNECTION]))
+        if result.is_err():
+            return self._refuse(read, result.err(), started, start_response)
+        answer = result.ok()
+        duration_s = now_s() - started
+        self.metrics.record("request", str(answer.status), duration_s)
+        self.log.bind(
+            id=read.request_id, status=answer.status, server=answer.server, ms=_ms(duration_s)
+        ).info("answered")
+        headers = [*answer.headers, ("Content-Length", str(answer.length))]
+        self._note_leaving(headers)
+        start_response(f"{answer.status} Status", headers)
+        return [answer.body] if answer.rest is None else _Joined(answer.body, answer.rest)
+
+    def _refuse(self, request, refusal, started, start_response):
+        self.metrics.count_code(refusal.code, reason=refusal.reason)
+        duration_s = now_s() - started
+        self.metrics.record("refusal", refusal.code.name.lower(), duration_s)
+        self.log.bind(
+            id=request.request_id if request else None,
+            code=int(refusal.code),
+            name=refusal.code.name.lower(),
+            reason=refusal.reason,
+            not_run=refusal.is_not_run,
+            retry_after_s=refusal.retry_after_s,
+            ms=_ms(duration_s),
+        ).info("refused" if refusal.is_not_run else "failed")
+        body = json.dumps({"code": int(refusal.code), "reason": refusal.reason}).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            *refusal_headers(refusal.retry_after_s),
+        ]
+        self._note_leaving(headers)
+        start_response(_status(refusal), headers)
+        return [body]
+
+    def _note_leaving(self, headers):
+        if self.stage() != "serving":
+            headers.append(("Connection", "close"))
+
+
+@define(eq=False)
+class ReadyApp:
+    """Tells the platform whether this entry is ready for callers."""
+
+    is_ready: Callable
+
+    def __call__(self, environ, start_response):
+        """Answer 200 while the entry is ready, 503 otherwise."""
+        status = "200 OK" if self.is_ready() else NOT_RUN_STATUS
+        return _send(start_response, status, b"")
+
+
+@define(eq=False)
+class LookupApp:
+    """Tells callers which entries to connect to."""
+
+    look_up: Callable
+    ttl_s: float
+    metrics: object
+
+    def __call__(self, environ, start_response):
+        """Answer with addresses near the caller, or 503 when there are none."""
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        place = query.get("zone", [""])[0]
+        region = query.get("region", [""])[0]
+        self.metrics.count("lookups")
+        addresses = self.look_up(place, region)[:ADDRESS_LIMIT]
+        if not addresses:
+            return _send(start_response, NOT_RUN_STATUS, b"")
+        body = lookup_body(addresses, self.ttl_s)
+        return _send(start_response, "200 OK", body, ("Content-Type", "application/json"))
+
+
+@define(eq=False)
+class MetricsApp:
+    """Serves the counters and histograms as text."""
+
+    render: Callable
+
+    def __call__(self, environ, start_response):
+        """Answer with all metrics."""
+        return _send(start_response, "200 OK", self.render().encode())
+
+
+class _Parts:
+    """The parts of an answer; the WSGI server closes it after the last byte was written."""
+
+    def __init__(self, parts, on_close):
+        self._parts = parts
+        self._on_close = on_close
+
+    def __iter__(self):
+        yield from self._parts
+
+    def close(self):
+        try:
+            if hasattr(self._parts, "close"):
+                self._parts.close()
+        finally:
+            self._on_close()
+
+
+class _Joined:
+    """The first part of a large answer and then its rest, closed together."""
+
+    def __init__(self, body, rest):
+        self._body = body
+        self._rest = rest
+
+    def __iter__(self):
+        yield self._body
+        yield from self._rest
+
+    def close(self):
+        self._rest.close()
+
+
+def _status(refusal):
+    status = HTTP_STATUS_BY_CODE.get(refusal.code)
+    if status is not None:
+        return status
+    if refusal.is_not_run:
+        return NOT_RUN_STATUS
+    return TIMEOUT_STATUS if refusal.code is Code.SERVER_TIMEOUT else FAILED_STATUS
+
+
+def _send(start_response, status, body, content_type=TEXT):
+    start_response(status, [content_type, ("Content-Length", str(len(body)))])
+    return [body]
+
+
+def _ms(seconds):
+    return round(seconds * 1000, 1)
+
+
+# Reading of requests.
+
+
+def _read_request(environ, started, body_limit):
+    raw_headers = environ[RAW_HEADERS]
+    value_by_name = {name.lower(): value for name, value in raw_headers}
+    head = read_request_head(lambda name: value_by_name.get(name.lower()))
+    body = _read_body(environ, body_limit)
+    if isinstance(body, FinalRefusal):
+        return body
+    target = environ[RAW_TARGET]
+    method = environ["REQUEST_METHOD"]
+    host = value_by_name.get("host", "")
+    # The time that the body took to arrive is the caller's own.
+    left_s = DEFAULT_TIME_S if head.time_left_s is None else head.time_left_s
+    return GatewayRequest(
+        request_id=head.request_id,
+        method=method,
+        target=target,
+        host=host.partition(":")[0].lower(),
+        path=target.partition("?")[0],
+        headers=_passed_headers(raw_headers, host),
+        body=body,
+        arrived_s=started,
+        caller_ends_s=started + left_s,
+        key=head.key,
+        fingerprint=_fingerprint(method, host, target, body),
+    )
+
+
+def _passed_headers(raw_headers, host):
+    named = {
+        token.strip().lower()
+        for name, value in raw_headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    passed = [
+        (name, value)
+        for name, value in raw_headers
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in named
+        and name.lower() != "expect"
+        and not is_set_by_entry(name)
+    ]
+    return (("Host", host), *passed)
+
+
+def _read_body(environ, limit):
+    declared = environ.get("CONTENT_LENGTH", "")
+    chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
+    if declared and not declared.isdigit():
+        return FinalRefusal(Code.BAD_REQUEST, True, "bad-length")
+    if declared and int(declared) > limit:
+        return FinalRefusal(Code.BODY_TOO_LARGE, True, "body-too-large")
+    if not declared and not chunked:
+        return b""
+    stream = environ["wsgi.input"]
+    try:
+        body = stream.read(limit + 1 if chunked else int(declared))
+    except (OSError, ValueError):
+        return FinalRefusal(Code.BAD_REQUEST, True, "body-incomplete")
+    if len(body) > limit:
+        return FinalRefusal(Code.BODY_TOO_LARGE, True, "body-too-large")
+    if declared and len(body) != int(declared):
+        return FinalRefusal(Code.BAD_REQUEST, True, "body-incomplete")
+    return body
+
+
+def _fingerprint(method, host, target, body):
+    digest = sha256(f"{method}\0{host}\0{target}\0".encode("utf-8", "surrogateescape"))
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def _watcher(connection):
+    """Return a function that calls another once the caller has closed its connection."""
+    sock = getattr(connection, "fd", connection)
+
+    def watch(on_gone):
+        thread = eventlet.spawn(_wait_for_close, sock, on_gone)
+        return thread.kill
+
+    return watch
+
+
+def _wait_for_close(sock, on_gone):
+    try:
+        trampoline(sock, read=True)
+        # Data may be the next request, behind which a close cannot be seen.
+        if sock.recv(1, MSG_PEEK | MSG_DONTWAIT) == b"":
+            on_gone()
+    except BlockingIOError:
+        return
+    except OSError:
+        on_gone()
--- /dev/null
+++ b/figfold/gateway/store_watch.py
@@ -0,0 +1,187 @@
+"""Reads the store's tables again and again, whatever state the store is in."""
+
+import eventlet
+from attrs import define, field
+
+from figfold.core.codes import Code
+from figfold.core.confirmation import StoreHealth
+from figfold.entry.clock import now_s
+from figfold.platform.beliefs import read_entry_rows, read_operator_rows, read_server_rows
+from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE
+
+RETRY_PAUSE_S = 0.2  # Between two calls of a store that fails.
+RETRY_PAUSE_LIMIT_S = 1.0
+# A silence of the store after which entries of live servers may have lapsed.
+OUTAGE_S = 1.5
+# A change of the configuration that a peer tells is waited for in the feed this long.
+PEER_NEWS_S = 0.3
+REPORTED_FAILURES = 100  # Unreadable rows that are remembered as reported.
+
+
+@define(eq=False)
+class StoreWatch:
+    """The readers of the operator's and of the servers' rows.
+
+    Attributes
+    ----------
+    beliefs : Beliefs
+    on_confirmed : callable
+        ``(version, started_s)``, after each reading of the operator's rows.
+    """
+
+    store: object
+    beliefs: object
+    settings: object
+    metrics: object
+    log: object
+    on_confirmed: object
+    on_server_gone: object
+    health: StoreHealth = field(factory=StoreHealth)
+    operator_version: int | None = None
+    server_version: int | None = None
+    last_read_s: float = float("-inf")
+    _outage_ended_s: float = float("-inf")
+    _pause_s: float = RETRY_PAUSE_S
+    _reported: set = field(factory=set)
+
+    def start(self):
+        """Start the readers."""
+        eventlet.spawn_n(self._run, "configuration", self.read_operator)
+        eventlet.spawn_n(self._run, "servers", self.read_servers)
+
+    def _run(self, name, step):
+        while True:
+            try:
+                pause_s = step()
+            except Exception as error:
+                self.metrics.count("loop_errors", loop=name)
+                self.log.opt(exception=error).error("loop step failed", loop=name)
+                pause_s = RETRY_PAUSE_LIMIT_S
+            eventlet.sleep(pause_s)
+
+    # The operator's rows.
+
+    def read_operator(self):
+        """Read the operator's rows, whole or what has changed; return the pause after it."""
+        started = now_s()
+        whole = self.operator_version is None
+        if whole:
+            read = self.store.read_table(OPERATOR_TABLE)
+        else:
+            wait_s = self.settings.configuration_wait_s
+            read = self.store.read_changes(OPERATOR_TABLE, self.operator_version, wait_s)
+        if read.is_err():
+            return self._fail(read.err(), "operator_version")
+        self._succeed(started)
+        rows = read.ok()
+        self.operator_version = rows.version
+        self._take_operator(read_operator_rows(rows.rows), whole)
+        if self.beliefs.configuration is not None:
+            self.on_confirmed(self.beliefs.configuration.version, started)
+        return 0.0
+
+    def read_operator_again(self):
+        """Read the operator's rows whole: a peer has a later version than the feed has told."""
+        started = now_s()
+        read = self.store.read_table(OPERATOR_TABLE)
+        if read.is_err():
+            return
+        self._succeed(started)
+        self._take_operator(read_operator_rows(read.ok().rows), True)
+
+    def _take_operator(self, news, whole):
+        self._report(news.failures)
+        if news.configuration is not None:
+            self.beliefs.take_configuration(news.configuration, "store")
+        named = {place for place, is_on in news.evacuation_by_place.items() if is_on}
+        lifted = {place for place, is_on in news.evacuation_by_place.items() if not is_on}
+        fleet = self.beliefs.fleet
+        places = named if whole else (fleet.evacuated_places - lifted) | named
+        before = fleet.evacuated_places
+        if fleet.set_evacuated(places, now_s()):
+            self.log.bind(before=sorted(before), now=sorted(places)).info("evacuations-changed")
+
+    # The servers' rows.
+
+    def read_servers(self):
+        """Read the servers' rows, whole or what has changed; return the pause after it."""
+        started = now_s()
+        whole = self.server_version is None
+        if whole:
+            read = self.store.read_table(SERVER_TABLE)
+        else:
+            read = self.store.read_changes(SERVER_TABLE, self.server_version, 0.0)
+        if read.is_err():
+            return self._fail(read.err(), "server_version")
+        self._succeed(started)
+        rows = read.ok()
+        self.server_version = rows.version
+        self._take_servers(read_server_rows(rows.rows), whole, started)
+        return max(0.0, self.settings.server_read_interval_s - (now_s() - started))
+
+    def _take_servers(self, news, whole, started):
+        fleet = self.beliefs.fleet
+        now = now_s()
+        after_outage = now - self._outage_ended_s < RETRY_PAUSE_LIMIT_S + OUTAGE_S
+        self._report(news.failures)
+        if whole:
+            gone = fleet.take_listing(news.records, now, after_outage and fleet.is_known)
+        else:
+            for record in news.records:
+                self._take_record(record, now)
+            gone = [one for one in news.removed_ids if fleet.take_removal(one, now, after_outage)]
+        gone += fleet.drop_missing(now)
+        for server_id in gone:
+            self.on_server_gone(server_id)
+            self.log.bind(server=server_id, whole=whole).info("server-gone")
+        self.beliefs.servers_read_s = started
+
+    def _take_record(self, record, now):
+        if self.beliefs.fleet.take_record(record, now):
+            self.log.bind(
+                server=record.id,
+                service=record.service,
+                place=record.place,
+                leaving=record.is_leaving,
+                cold_s=record.cold_remaining_s,
+            ).info("server-changed")
+
+    # The other entries' rows.
+
+    def register(self, name, value):
+        """Write the own row and return the rows of the others; None when the store fails."""
+        written = self.store.write(ENTRY_TABLE, name, value)
+        if written.is_err():
+            return None
+        read = self.store.read_table(ENTRY_TABLE)
+        return None if read.is_err() else read_entry_rows(read.ok().rows)
+
+    # The store itself.
+
+    def _succeed(self, started):
+        now = now_s()
+        if now - self.last_read_s > OUTAGE_S and self.last_read_s > float("-inf"):
+            self._outage_ended_s = now
+        self.last_read_s = now
+        self._pause_s = RETRY_PAUSE_S
+        if self.health.succeeded(now):
+            self.log.bind(ms=round((now - started) * 1000)).info("store-reachable")
+
+    def _fail(self, failure, version_name):
+        if failure.code is Code.STORE_HISTORY_LOST:
+            self.log.bind(reader=version_name).info("store-history-lost")
+            setattr(self, version_name, None)
+            return 0.0
+        if self.health.failed(now_s()):
+            self.log.bind(code=int(failure.code), why=failure.message).warning("store-lost")
+        self._pause_s = min(RETRY_PAUSE_LIMIT_S, 1.5 * self._pause_s)
+        return self._pause_s
+
+    def _report(self, failures):
+        for failure in failures:
+            if failure.message not in self._reported:
+                if len(self._reported) >= REPORTED_FAILURES:
+                    self._reported.clear()
+                self._reported.add(failure.message)
+                self.log.bind(why=failure.message).warning("row-unreadable")
+            self.metrics.count_code(failure.code)
--- /dev/null
+++ b/figfold/platform/decoding.py
@@ -0,0 +1,219 @@
+"""Reads the operator's rows and the backend servers' rows into the product's types."""
+
+import base64
+import binascii
+import json
+import math
+
+from attrs import frozen
+from result import Err, Ok
+
+from figfold.core.codes import Code, Failure
+from figfold.core.traffic.configuration import (
+    CallerLimits,
+    Configuration,
+    Repeat,
+    Route,
+    ServiceRules,
+    ServiceWeight,
+)
+from figfold.core.traffic.fleet import ServerRecord
+
+# ``non_idempotent`` and every kind not known here run at most once.
+REPEATABLE_KINDS = frozenset({"safe", "download"})
+BULK_KINDS = frozenset({"download"})
+READY = "ready"
+DRAINING = "draining"
+REMEDY = "compare it with the platform's protocol"
+
+
+@frozen
+class StoredRow:
+    """A row of the store, or that it was removed.
+
+    Attributes
+    ----------
+    value : dict or list or None
+        The decoded value; None when it could not be read.
+    """
+
+    table: str
+    key: str
+    value: object
+    version: int
+    is_removed: bool = False
+
+
+class FieldError(ValueError):
+    """A field is missing, of another type, or out of bounds."""
+
+
+def read_row(item):
+    """Return the row that a listing or a feed holds; an unreadable value is None.
+
+    Raises
+    ------
+    FieldError
+        When the row itself names no table or key.
+    """
+    table, key = _text(item, "table"), _text(item, "key")
+    version = item.get("ver", 0)
+    removed = item.get("tombstone") is True
+    return StoredRow(table, key, None if removed else _decoded(item.get("value")), version, removed)
+
+
+def _decoded(value):
+    if not isinstance(value, str):
+        return None
+    try:
+        return json.loads(base64.b64decode(value, validate=True))
+    except (binascii.Error, ValueError, RecursionError):
+        # Another writer's row: the caller reports that it names nothing.
+        return None
+
+
+def read_configuration(value):
+    """Return Ok(Configuration) of the value of the operator's configuration row."""
+    try:
+        service_by_name = {
+            name: _service(name, item) for name, item in _table(value, "services").items()
+        }
+        route_by_name = {name: _route(name, item) for name, item in _table(value, "routes").items()}
+        return Ok(
+            Configuration(
+                version=_version(value.get("version")),
+                route_by_name=route_by_name,
+                service_by_name=service_by_name,
+                limits=_limits(value.get("limits") or {}),
+            )
+        )
+    except FieldError as error:
+        message = f"the configuration cannot be read: {error}"
+        return Err(Failure(Code.STORE_BAD_ANSWER, message, REMEDY))
+
+
+def read_server(server_id, value, known_services=None):
+    """Return Ok(ServerRecord) of the value of a backend server's row.
+
+    Parameters
+    ----------
+    known_services : collection of str or None
+        Services that exist; a row that names another one names no server to use.
+    """
+    try:
+        info, status = _table(value, "info"), _table(value, "status")
+        state = _text(status, "state")
+        if state not in (READY, DRAINING):
+            raise FieldError(f"unknown state {state[:40]!r}")
+        service = _text(info, "service")
+        if known_services is not None and service not in known_services:
+            raise FieldError(f"unknown service {service[:40]!r}")
+        record = ServerRecord(
+            id=server_id,
+            service=service,
+            address=_address(value),
+            place=_text(info, "zone"),
+            slots=_whole(info, "slots", 1),
+            is_leaving=state == DRAINING,
+            sequence=_whole(status, "sequence", 0),
+            cold_remaining_s=_number(status, "coldRemainingS", 0.0),
+            born_ms=_whole(value, "born", 0) if "born" in value else 0,
+            software_version=_text(info, "version"),
+        )
+        return Ok(record)
+    except FieldError as error:
+        message = f"the row of server {server_id[:60]!r} cannot be read: {error}"
+        return Err(Failure(Code.STORE_BAD_ANSWER, message, REMEDY))
+
+
+def _service(name, item):
+    return ServiceRules(
+        name=name,
+        connection_limit=_whole(item, "maxConnections", 0) if "maxConnections" in item else 0,
+        cold_start_s=_number(item, "coldStartS", 0.0) if "coldStartS" in item else 0.0,
+        cold_requests_per_s=_number(item, "coldPerS", 0.0) if "coldPerS" in item else 1.0,
+    )
+
+
+def _route(name, item):
+    kind = _text(item, "kind")
+    timeout_s = _number(item, "timeoutS", 0.0)
+    homes = item.get("homeRegions") or []
+    if not isinstance(homes, list) or not all(isinstance(one, str) for one in homes):
+        raise FieldError("homeRegions is no list of names")
+    return Route(
+        name=name,
+        host=_text(item, "host").lower(),
+        prefix=_text(item, "prefix"),
+        repeat=Repeat.SAFE if kind in REPEATABLE_KINDS else Repeat.AT_MOST_ONCE,
+        services=_services_of(item),
+        is_bulk=kind in BULK_KINDS,
+        timeout_s=timeout_s,
+        target_latency_s=_number(item, "targetLatencyS", 0.0) if "targetLatencyS" in item else 1.0,
+        priority=_whole(item, "priority", 0) if "priority" in item else 0,
+        max_attempts=_whole(item, "maxAttempts", 1) if "maxAttempts" in item else 1,
+        home_regions=frozenset(homes),
+    )
+
+
+def _services_of(item):
+    split = item.get("split")
+    if not split:
+        return (ServiceWeight(_text(item, "service"), 1.0),)
+    if not isinstance(split, list):
+        raise FieldError("split is no list")
+    return tuple(ServiceWeight(_text(one, "service"), _number(one, "weight", 0.0)) for one in split)
+
+
+def _limits(item):
+    defaults = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(item.get("maxHeaderBytes") or defaults.header_bytes),
+        body_bytes=int(item.get("maxBodyBytes") or defaults.body_bytes),
+        header_timeout_s=float(item.get("headerTimeoutS") or defaults.header_timeout_s),
+        idle_timeout_s=float(item.get("idleTimeoutS") or defaults.idle_timeout_s),
+    )
+
+
+def _version(value):
+    if not isinstance(value, str) or not value.startswith("r") or not value[1:].isdigit():
+        raise FieldError(f"version {value!r:.40} is not r and a number")
+    return int(value[1:])
+
+
+def _table(value, name):
+    found = value.get(name) if isinstance(value, dict) else None
+    if not isinstance(found, dict):
+        raise FieldError(f"{name} is no table")
+    return found
+
+
+def _text(item, name):
+    found = item.get(name) if isinstance(item, dict) else None
+    if not isinstance(found, str) or not found:
+        raise FieldError(f"{name} is no text")
+    return found
+
+
+def _address(item):
+    text = _text(item, "address")
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise FieldError(f"address {text[:40]!r} is no host and port")
+    return text
+
+
+def _whole(item, name, low):
+    found = item.get(name)
+    if isinstance(found, bool) or not isinstance(found, int) or found < low:
+        raise FieldError(f"{name} is no whole number from {low}")
+    return found
+
+
+def _number(item, name, low):
+    found = item.get(name)
+    if isinstance(found, bool) or not isinstance(found, (int, float)):
+        raise FieldError(f"{name} is no number")
+    if not math.isfinite(found) or found < low:
+        raise FieldError(f"{name} is out of bounds")
+    return float(found)
