--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -156,14 +156,20 @@
         return True
 
     def usable(self, service):
-        """Return the servers of a service that may be sent requests."""
-        return [
+        """Return the servers of a service that may be sent requests.
+
+        Servers that are missing since an outage of the store are left out as if they were gone,
+        unless they are so many that the outage must have lapsed them.
+        """
+        servers = [
             server
             for server in self.server_by_id.values()
             if server.record.service == service
             and not server.record.is_leaving
             and server.record.place not in self.evacuated_places
         ]
+        present = [server for server in servers if server.missing_since_s is None]
+        return present if 2 * len(present) >= len(servers) else servers
 
     def may_send(self, server_id):
         """Return whether the server may be sent a request at this moment."""
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -5,6 +5,7 @@
 silenced one of them may have silenced all.
 """
 
+import errno
 import re
 import socket
 from collections import deque
@@ -14,6 +15,7 @@
 
 from attrs import Factory, define, frozen
 from eventlet import Timeout
+from eventlet.greenio import GreenSocket
 from result import Err, Ok
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, IncompleteRead
@@ -55,6 +57,22 @@
     fresh: bool
 
 
+class ResetAwareSocket(GreenSocket):
+    """A green socket that raises when its connection was reset.
+
+    The library's own returns no bytes then, which an answer without a length takes for its end.
+    """
+
+    def _recv_loop(self, recv_meth, empty_val, *args):
+        def receive(*arguments):
+            try:
+                return recv_meth(*arguments)
+            except (ConnectionResetError, BrokenPipeError) as error:
+                raise ConnectionAbortedError(errno.ECONNABORTED, "connection reset") from error
+
+        return super()._recv_loop(receive, empty_val, *args)
+
+
 @frozen
 class _Idle:
     connection: HTTPConnection
@@ -263,4 +281,6 @@
         connection.close()
         return None
     connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # The library makes the socket itself and offers no other place to choose its class.
+    connection.sock.__class__ = ResetAwareSocket
     return connection
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -13,6 +13,7 @@
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.selection import Wanted
 from figfold.entry.clock import now_s
+from figfold.gateway.sender import AttemptResult
 
 # The final answer leaves this long before the caller gives up, to arrive in time.
 ANSWER_MARGIN_S = 0.02
@@ -246,7 +247,12 @@
 
     def _attempt(self, attempt_id, choice):
         left_s = self.ends_s - now_s()
-        result = self.runner.sender.send(self.request, choice, max(0.001, left_s))
+        try:
+            result = self.runner.sender.send(self.request, choice, max(0.001, left_s))
+        except Exception as error:
+            self.runner.metrics.count("loop_errors", loop="attempt")
+            self.runner.log.opt(exception=error).error("attempt failed unexpectedly")
+            result = AttemptResult(End.FAILED, Code.ENTRY_ERROR, now_s() - self.request.arrived_s)
         self.events.put(Ended(attempt_id, result))
 
     def _choose(self):
--- a/figfold/gateway/store_watch.py
+++ b/figfold/gateway/store_watch.py
@@ -10,7 +10,7 @@
 from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE
 
 RETRY_PAUSE_S = 0.2  # Between two calls of a store that fails.
-RETRY_PAUSE_LIMIT_S = 1.0
+RETRY_PAUSE_LIMIT_S = 0.4
 # A silence of the store after which entries of live servers may have lapsed.
 OUTAGE_S = 1.5
 # A change of the configuration that a peer tells is waited for in the feed this long.
@@ -122,7 +122,7 @@
     def _take_servers(self, news, whole, started):
         fleet = self.beliefs.fleet
         now = now_s()
-        after_outage = now - self._outage_ended_s < RETRY_PAUSE_LIMIT_S + OUTAGE_S
+        after_outage = now - self._outage_ended_s < OUTAGE_S
         self._report(news.failures)
         if whole:
             gone = fleet.take_listing(news.records, now, after_outage and fleet.is_known)
