Let one entry of each region read the store for the others

Entries now ask the live one with the lowest name of their region, which answers at the next change, and read the store themselves when it is silent or stale.

--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -1,12 +1,15 @@
 """Which backend servers exist and may be sent requests, as the store tells it."""
 
+from collections import deque
 from math import inf
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 
 # An entry that is missing right after an outage of the store may only have lapsed meanwhile; live
 # servers are back within two seconds of its return.
 LAPSE_GRACE_S = 2.2
+# Removals that are remembered for entries that ask what has changed.
+REMOVALS_KEPT = 500
 # A cold time that the store tells was written up to a heartbeat and one reading ago.
 COLD_NEWS_S = 3.0
 
@@ -49,10 +52,13 @@
         Until when it must be taken as cold.
     missing_since_s : float or None
         When it was first missing from the store after an outage.
+    changed : int
+        Generation of the fleet in which more than its heartbeat changed.
     """
 
     record: ServerRecord
     seen_s: float
+    changed: int = 0
     cold_until_s: float = -inf
     missing_since_s: float | None = None
 
@@ -61,6 +67,27 @@
         return now_s < self.cold_until_s
 
 
+@frozen
+class FleetNews:
+    """What has changed of a fleet, for another entry.
+
+    Attributes
+    ----------
+    generation : int
+        What to ask for next time.
+    is_whole : bool
+        Whether the records are all there are.
+    records : tuple[ServerRecord, ...]
+        With the cold time that remains now.
+    """
+
+    generation: int
+    is_whole: bool
+    records: tuple[ServerRecord, ...]
+    removed_ids: tuple[str, ...]
+    evacuated_places: frozenset
+
+
 @define
 class Fleet:
     """Registered servers by id, and the data centres that are being evacuated."""
@@ -69,33 +96,31 @@
     evacuated_places: frozenset = frozenset()
     is_known: bool = False
     generation: int = 0
-    _evacuation_ended_s: dict[str, float] = Factory(dict)
+    _removals: deque = Factory(lambda: deque(maxlen=REMOVALS_KEPT))
 
     def take_record(self, record, now_s):
         """Take a server's record; return whether anything but its heartbeat changed."""
         known = self.server_by_id.get(record.id)
         if known is None or known.record.born_ms != record.born_ms:
-            server = FleetServer(record, now_s)
+            self.generation += 1
+            server = FleetServer(record, now_s, self.generation)
             self.server_by_id[record.id] = server
             self._note_cold(server, now_s)
-            self.generation += 1
             return True
         if record.sequence < known.record.sequence:
             # An older word of the same process, from a reading that was overtaken.
             return False
         before = known.record
+        was_missing = known.missing_since_s is not None
         known.record = record
         known.seen_s = now_s
         known.missing_since_s = None
-        self._note_cold(known, now_s)
-        changed = (before.is_leaving, before.address, before.service, before.slots) != (
-            record.is_leaving,
-            record.address,
-            record.service,
-            record.slots,
-        )
-        self.generation += changed
-        return changed
+        is_colder = self._note_cold(known, now_s)
+        if was_missing or is_colder or _without_heartbeat(before) != _without_heartbeat(record):
+            self.generation += 1
+            known.changed = self.generation
+            return True
+        return False
 
     def take_listing(self, records, now_s, after_outage):
         """Take a whole reading; return the ids that are gone.
@@ -124,8 +149,7 @@
             if server.missing_since_s is None:
                 server.missing_since_s = now_s
             return False
-        del self.server_by_id[server_id]
-        self.generation += 1
+        self._remove(server_id)
         return True
 
     def drop_missing(self, now_s):
@@ -137,8 +161,7 @@
             and now_s - server.missing_since_s >= LAPSE_GRACE_S
         ]
         for one in gone:
-            del self.server_by_id[one]
-        self.generation += len(gone)
+            self._remove(one)
         return gone
 
     def set_evacuated(self, places, now_s):
@@ -186,6 +209,55 @@
         if server is not None:
             server.cold_until_s = max(server.cold_until_s, until_s)
 
+    def news_since(self, generation, now_s):
+        """Return what has changed after a generation, or everything when that is unknown.
+
+        Parameters
+        ----------
+        generation : int
+            As a former `FleetNews` told it; zero asks for everything.
+        now_s : float
+
+        Returns
+        -------
+        FleetNews
+        """
+        oldest = self._removals[0][0] if len(self._removals) == REMOVALS_KEPT else 0
+        is_whole = not oldest < generation <= self.generation
+        after = 0 if is_whole else generation
+        servers = [
+            server
+            for server in self.server_by_id.values()
+            if server.changed > after and not (is_whole and server.missing_since_s is not None)
+        ]
+        removed = {one for number, one in self._removals if number > after}
+        return FleetNews(
+            self.generation,
+            is_whole,
+            tuple(_with_cold_left(server, now_s) for server in servers),
+            () if is_whole else tuple(sorted(removed - set(self.server_by_id))),
+            self.evacuated_places,
+        )
+
+    def _remove(self, server_id):
+        del self.server_by_id[server_id]
+        self.generation += 1
+        self._removals.append((self.generation, server_id))
+
     def _note_cold(self, server, now_s):
-        if server.record.cold_remaining_s > 0.0:
-            server.cold_until_s = max(server.cold_until_s, now_s + server.record.cold_remaining_s)
+        """Take the cold time that a record tells; return whether it ends later than known."""
+        if server.record.cold_remaining_s <= 0.0:
+            return False
+        until_s = now_s + server.record.cold_remaining_s
+        is_colder = until_s > server.cold_until_s + COLD_NEWS_S / 2
+        server.cold_until_s = max(server.cold_until_s, until_s)
+        return is_colder
+
+
+def _without_heartbeat(record):
+    return evolve(record, sequence=0, cold_remaining_s=0.0)
+
+
+def _with_cold_left(server, now_s):
+    cold_s = max(0.0, server.cold_until_s - now_s)
+    return evolve(server.record, cold_remaining_s=cold_s)
--- a/figfold/gateway/beliefs.py
+++ b/figfold/gateway/beliefs.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from attrs import Factory, define
+from eventlet.event import Event
 
 from figfold.core.traffic.allowances import ColdAllowance, cold_sharers
 from figfold.core.traffic.configuration import Configuration
@@ -27,8 +28,10 @@
 
     Attributes
     ----------
-    servers_read_s : float
-        When the servers' rows were last read.
+    servers_read_s, operator_read_s : float
+        When what is known of the rows was read from the store, here or by another entry.
+    changed : Event
+        Sent at the next change.
     on_configuration : callable
         Called with each version that comes into force.
     """
@@ -41,7 +44,10 @@
     on_configuration: object
     membership: object = None
     configuration: Configuration | None = None
+    configuration_text: bytes = b""
     servers_read_s: float = -inf
+    operator_read_s: float = -inf
+    changed: Event = Factory(Event)
     cold: ColdAllowance = Factory(ColdAllowance)
     registered_entries: set = Factory(set)
     _distance_by_place: dict = Factory(dict)
@@ -56,12 +62,13 @@
 
     # The configuration.
 
-    def take_configuration(self, configuration, source):
+    def take_configuration(self, configuration, text, source):
         """Put a version in force unless it is older; return whether it is a new one."""
         known = self.configuration
         if known is not None and configuration.version <= known.version:
             return False
         self.configuration = configuration
+        self.configuration_text = text
         self.log.bind(
             version=configuration.version,
             before=known.version if known else None,
@@ -69,8 +76,14 @@
             source=source,
         ).info("configuration-in-force")
         self.on_configuration(configuration.version)
+        self.note_change()
         return True
 
+    def note_change(self):
+        """Wake those that wait for news of the configuration or of the servers."""
+        changed, self.changed = self.changed, Event()
+        changed.send()
+
     # Distances.
 
     def note_round_trip(self, entry_name, seconds):
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -28,12 +28,14 @@
     make_gateway_protocol,
 )
 from figfold.gateway.beliefs import Beliefs
+from figfold.gateway.knowledge import KnowledgeKeeper
 from figfold.gateway.runner import Runner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
 from figfold.gateway.store_watch import StoreWatch
 from figfold.platform.exchange import server_headers
 from figfold.platform.rows import RowStore
 from figfold.wire.client import PeerClient
+from figfold.wire.messages import KnowledgeRequest
 from figfold.wire.server import PeerServer, PeerServerSettings
 
 BACKLOG = 1024
@@ -66,6 +68,7 @@
     app: RequestApp = None
     peer_server: PeerServer = None
     connections: Connections = None
+    knowledge: KnowledgeKeeper = None
     confirmation: Confirmation = None
     quarantine: Quarantine = None
     stage: str = "serving"
@@ -135,7 +138,7 @@
             on_strike=self.quarantine.merge_strike,
             on_round_trip=self.beliefs.note_round_trip,
             on_loads=lambda _name, _loads: None,
-            on_later_plan=lambda _version, _address: self.watch.read_operator_again(),
+            on_later_plan=lambda _version, _address: None,
         )
         host, port = settings.peer_address.rsplit(":", 1)
         networks = tuple(ip_network(text) for text in settings.peers.allowed_networks)
@@ -143,6 +146,17 @@
             PeerServerSettings(host, int(port), networks), self.peers.handle
         )
 
+        self.knowledge = KnowledgeKeeper.from_config(
+            settings,
+            self.beliefs,
+            self.watch,
+            self.peers.client,
+            self.metrics,
+            self.log,
+            own.incarnation,
+        )
+        self.peers.handler_by_type = {KnowledgeRequest: self.knowledge.answer}
+
     def _make_runner(self):
         self.connections = Connections(
             IDLE_CONNECTION_S,
@@ -184,7 +198,7 @@
         lookup = LookupApp(self.look_up, settings.lookup_ttl_s, self.metrics)
         self._serve(settings.lookup_address, lookup, protocol)
         self._serve(settings.metrics_address, MetricsApp(self._render), protocol)
-        self.watch.start()
+        self.knowledge.start()
         eventlet.spawn_n(self._register)
         self._loop("peers", settings.peers.interval_s, self.peers.contact)
         self._loop("idle", IDLE_SWEEP_S, lambda: self.connections.close_idle(now_s()))
--- a/figfold/gateway/store_watch.py
+++ b/figfold/gateway/store_watch.py
@@ -1,6 +1,5 @@
-"""Reads the store's tables again and again, whatever state the store is in."""
+"""Reads the store's tables and takes what they tell, whatever state the store is in."""
 
-import eventlet
 from attrs import define, field
 
 from figfold.core.codes import Code
@@ -44,21 +43,6 @@
     _pause_s: float = RETRY_PAUSE_S
     _reported: set = field(factory=set)
 
-    def start(self):
-        """Start the readers."""
-        eventlet.spawn_n(self._run, "configuration", self.read_operator)
-        eventlet.spawn_n(self._run, "servers", self.read_servers)
-
-    def _run(self, name, step):
-        while True:
-            try:
-                pause_s = step()
-            except Exception as error:
-                self.metrics.count("loop_errors", loop=name)
-                self.log.opt(exception=error).error("loop step failed", loop=name)
-                pause_s = RETRY_PAUSE_LIMIT_S
-            eventlet.sleep(pause_s)
-
     # The operator's rows.
 
     def read_operator(self):
@@ -76,6 +60,7 @@
         rows = read.ok()
         self.operator_version = rows.version
         self._take_operator(read_operator_rows(rows.rows), whole)
+        self.beliefs.operator_read_s = now_s()
         if self.beliefs.configuration is not None:
             self.on_confirmed(self.beliefs.configuration.version, started)
         return 0.0
@@ -88,23 +73,30 @@
             return
         self._succeed(started)
         self._take_operator(read_operator_rows(read.ok().rows), True)
+        self.beliefs.operator_read_s = started
 
     def _take_operator(self, news, whole):
         self._report(news.failures)
         if news.configuration is not None:
-            self.beliefs.take_configuration(news.configuration, "store")
+            self.beliefs.take_configuration(news.configuration, news.configuration_text, "store")
         named = {place for place, is_on in news.evacuation_by_place.items() if is_on}
         lifted = {place for place, is_on in news.evacuation_by_place.items() if not is_on}
         fleet = self.beliefs.fleet
-        places = named if whole else (fleet.evacuated_places - lifted) | named
-        before = fleet.evacuated_places
-        if fleet.set_evacuated(places, now_s()):
-            self.log.bind(before=sorted(before), now=sorted(places)).info("evacuations-changed")
+        self.take_evacuated(named if whole else (fleet.evacuated_places - lifted) | named, "store")
+
+    def take_evacuated(self, places, source):
+        """Take the data centres that are being evacuated."""
+        before = self.beliefs.fleet.evacuated_places
+        if self.beliefs.fleet.set_evacuated(places, now_s()):
+            self.log.bind(before=sorted(before), now=sorted(places), source=source).info(
+                "evacuations-changed"
+            )
+            self.beliefs.note_change()
 
     # The servers' rows.
 
     def read_servers(self):
-        """Read the servers' rows, whole or what has changed; return the pause after it."""
+        """Read the servers' rows, whole or what has changed; return whether that went well."""
         started = now_s()
         whole = self.server_version is None
         if whole:
@@ -112,38 +104,45 @@
         else:
             read = self.store.read_changes(SERVER_TABLE, self.server_version, 0.0)
         if read.is_err():
-            return self._fail(read.err(), "server_version")
+            self._fail(read.err(), "server_version")
+            return False
         self._succeed(started)
         rows = read.ok()
         self.server_version = rows.version
-        self._take_servers(read_server_rows(rows.rows), whole, started)
-        return max(0.0, self.settings.server_read_interval_s - (now_s() - started))
+        news = read_server_rows(rows.rows)
+        self._report(news.failures)
+        after_outage = now_s() - self._outage_ended_s < OUTAGE_S
+        self.take_servers(news.records, news.removed_ids, whole, after_outage, "store")
+        self.beliefs.servers_read_s = started
+        return True
 
-    def _take_servers(self, news, whole, started):
+    def take_servers(self, records, removed_ids, whole, after_outage, source):
+        """Take what the store or another entry tells of the servers."""
         fleet = self.beliefs.fleet
         now = now_s()
-        after_outage = now - self._outage_ended_s < OUTAGE_S
-        self._report(news.failures)
+        generation = fleet.generation
         if whole:
-            gone = fleet.take_listing(news.records, now, after_outage and fleet.is_known)
+            gone = fleet.take_listing(records, now, after_outage and fleet.is_known)
         else:
-            for record in news.records:
-                self._take_record(record, now)
-            gone = [one for one in news.removed_ids if fleet.take_removal(one, now, after_outage)]
+            for record in records:
+                self._take_record(record, now, source)
+            gone = [one for one in removed_ids if fleet.take_removal(one, now, after_outage)]
         gone += fleet.drop_missing(now)
         for server_id in gone:
             self.on_server_gone(server_id)
-            self.log.bind(server=server_id, whole=whole).info("server-gone")
-        self.beliefs.servers_read_s = started
+            self.log.bind(server=server_id, whole=whole, source=source).info("server-gone")
+        if fleet.generation != generation:
+            self.beliefs.note_change()
 
-    def _take_record(self, record, now):
+    def _take_record(self, record, now, source):
         if self.beliefs.fleet.take_record(record, now):
             self.log.bind(
                 server=record.id,
                 service=record.service,
                 place=record.place,
                 leaving=record.is_leaving,
-                cold_s=record.cold_remaining_s,
+                cold_s=round(record.cold_remaining_s, 2),
+                source=source,
             ).info("server-changed")
 
     # The other entries' rows.
--- a/figfold/platform/beliefs.py
+++ b/figfold/platform/beliefs.py
@@ -1,7 +1,11 @@
 """What the store's rows say of the configuration, evacuations, backend servers and entries."""
 
+import json
+
 from attrs import frozen
+from result import Err
 
+from figfold.core.codes import Code, Failure
 from figfold.core.traffic.configuration import Configuration
 from figfold.core.traffic.fleet import ServerRecord
 from figfold.platform.decoding import read_configuration, read_server
@@ -18,11 +22,14 @@
         The configuration, if its row was among them and could be read.
     evacuation_by_place : dict[str, bool]
         Whether a data centre is being evacuated, for each one that was named.
+    configuration_text : bytes
+        The same as the operator wrote it, for other entries.
     failures : tuple[Failure, ...]
         Rows that could not be read.
     """
 
     configuration: Configuration | None
+    configuration_text: bytes
     evacuation_by_place: dict
     failures: tuple = ()
 
@@ -47,7 +54,7 @@
 
 def read_operator_rows(rows):
     """Return the `OperatorNews` of rows of the operator's table."""
-    configuration, evacuation_by_place, failures = None, {}, []
+    configuration, text, evacuation_by_place, failures = None, b"", {}, []
     for row in rows:
         if row.key == CONFIGURATION_KEY and not row.is_removed:
             read = read_configuration(row.value)
@@ -55,9 +62,19 @@
                 failures.append(read.err())
             else:
                 configuration = read.ok()
+                text = json.dumps(row.value, separators=(",", ":")).encode()
         elif row.key.startswith(EVACUATION_PREFIX):
             evacuation_by_place[row.key[len(EVACUATION_PREFIX) :]] = not row.is_removed
-    return OperatorNews(configuration, evacuation_by_place, tuple(failures))
+    return OperatorNews(configuration, text, evacuation_by_place, tuple(failures))
+
+
+def read_configuration_text(text):
+    """Return Ok(Configuration) of what another entry has passed on of the operator's row."""
+    try:
+        value = json.loads(text)
+    except ValueError as error:
+        return Err(Failure(Code.PEER_MALFORMED, f"the configuration is no JSON: {error}"))
+    return read_configuration(value)
 
 
 def read_server_rows(rows, known_services=None):
--- a/figfold/wire/codec.py
+++ b/figfold/wire/codec.py
@@ -18,10 +18,13 @@
     MAX_STRIKES,
 )
 from figfold.core.model import EntryReport, QuarantinedRequest, ServiceLoad, SharedStrike
+from figfold.core.traffic.fleet import FleetNews, ServerRecord
 from figfold.wire.messages import (
     ErrorReply,
     KeyQuery,
     KeyReply,
+    KnowledgeReply,
+    KnowledgeRequest,
     PlanReply,
     PlanRequest,
     Report,
@@ -36,6 +39,8 @@
 NESTING_LIMIT = 8
 ROOT_POINTER_WORDS = 1
 MAX_NAME_CHARS = 128
+MAX_SERVERS = 2000
+MAX_PLACES = 1000
 MAX_KEY_CHARS = 256
 MAX_STATE_CHARS = 64 * 1024
 MAX_ERROR_CHARS = 4096
@@ -271,6 +276,66 @@
     return ErrorReply(Code(body.code), _limited(body.text, MAX_ERROR_CHARS, "text"))
 
 
+# What entries know of the store's rows.
+
+
+def _write_knowledge_request(body, message):
+    body.configurationVersion = message.configuration_version
+    body.generation = message.generation
+    body.incarnation = message.incarnation
+
+
+def _read_knowledge_request(body):
+    return KnowledgeRequest(body.configurationVersion, body.generation, body.incarnation)
+
+
+def _write_knowledge_reply(body, message):
+    news = message.news
+    body.configuration = message.configuration
+    body.generation = news.generation
+    body.incarnation = message.incarnation
+    body.whole = news.is_whole
+    body.removed = list(news.removed_ids)
+    body.evacuated = sorted(news.evacuated_places)
+    body.ageS = message.age_s
+    for item, record in zip(body.init("servers", len(news.records)), news.records, strict=True):
+        item.id = record.id
+        item.service = record.service
+        item.address = _address_bytes(record.address)
+        item.place = record.place
+        item.slots = record.slots
+        item.leaving = record.is_leaving
+        item.sequence = record.sequence
+        item.coldRemainingS = record.cold_remaining_s
+        item.bornMs = record.born_ms
+
+
+def _read_knowledge_reply(body):
+    news = FleetNews(
+        generation=body.generation,
+        is_whole=body.whole,
+        records=_tuple(body.servers, MAX_SERVERS, _read_server, "servers"),
+        removed_ids=_tuple(body.removed, MAX_SERVERS, _name, "removed"),
+        evacuated_places=frozenset(_tuple(body.evacuated, MAX_PLACES, _name, "evacuated")),
+    )
+    age_s = _duration(body.ageS, "ageS")
+    return KnowledgeReply(bytes(body.configuration), news, body.incarnation, age_s)
+
+
+def _read_server(item):
+    return ServerRecord(
+        id=_name(item.id, "server"),
+        service=_name(item.service, "service"),
+        address=_address_text(item.address),
+        place=_name(item.place, "place"),
+        slots=item.slots,
+        is_leaving=item.leaving,
+        sequence=item.sequence,
+        cold_remaining_s=_duration(item.coldRemainingS, "coldRemainingS"),
+        born_ms=item.bornMs,
+    )
+
+
 _WRITER_BY_TYPE = {
     Report: ("report", _write_report),
     PlanRequest: ("planRequest", _write_plan_request),
@@ -278,6 +343,8 @@
     KeyQuery: ("keyQuery", _write_key_query),
     KeyReply: ("keyReply", _write_key_reply),
     ErrorReply: ("error", _write_error),
+    KnowledgeRequest: ("knowledgeRequest", _write_knowledge_request),
+    KnowledgeReply: ("knowledgeReply", _write_knowledge_reply),
 }
 _READER_BY_KIND = {
     "report": _read_report,
@@ -286,6 +353,8 @@
     "keyQuery": _read_key_query,
     "keyReply": _read_key_reply,
     "error": _read_error,
+    "knowledgeRequest": _read_knowledge_request,
+    "knowledgeReply": _read_knowledge_reply,
 }
 
 
--- a/figfold/wire/messages.py
+++ b/figfold/wire/messages.py
@@ -5,6 +5,7 @@
 from figfold.core.codes import Code
 from figfold.core.entries import KnownEntry
 from figfold.core.model import EntryReport
+from figfold.core.traffic.fleet import FleetNews
 
 
 @frozen
@@ -55,4 +56,41 @@
     text: str = ""
 
 
+@frozen
+class KnowledgeRequest:
+    """Asks for what the sender does not know of the store's rows.
+
+    Attributes
+    ----------
+    configuration_version : int
+        The version in force at the sender, zero for none.
+    generation, incarnation : int
+        Of the fleet as the asked entry last told it; zero asks for everything.
+    """
+
+    configuration_version: int
+    generation: int = 0
+    incarnation: int = 0
+
+
+@frozen
+class KnowledgeReply:
+    """What an entry knows of the store's rows, and how old that is.
+
+    Attributes
+    ----------
+    configuration : bytes
+        A later configuration as the operator wrote it, or nothing.
+    news : FleetNews
+    age_s : float
+        Since the rows of the backend servers were read from the store.
+    """
+
+    configuration: bytes
+    news: FleetNews
+    incarnation: int
+    age_s: float
+
+
 Message = Report | PlanRequest | PlanReply | KeyQuery | KeyReply | ErrorReply
+Message = Message | KnowledgeRequest | KnowledgeReply
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -75,6 +75,35 @@
   text @1 :Text;
 }
 
+struct ServerRecord {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Data;
+  place @3 :Text;
+  slots @4 :UInt16;
+  leaving @5 :Bool;
+  sequence @6 :UInt64;
+  coldRemainingS @7 :Float64;
+  bornMs @8 :UInt64;
+}
+
+struct KnowledgeRequest {
+  configurationVersion @0 :UInt64;
+  generation @1 :UInt64;
+  incarnation @2 :UInt64;
+}
+
+struct KnowledgeReply {
+  configuration @0 :Data;
+  generation @1 :UInt64;
+  incarnation @2 :UInt64;
+  whole @3 :Bool;
+  servers @4 :List(ServerRecord);
+  removed @5 :List(Text);
+  evacuated @6 :List(Text);
+  ageS @7 :Float64;
+}
+
 struct PeerMessage {
   union {
     unset @0 :Void;
@@ -84,5 +113,7 @@
     keyQuery @4 :KeyQuery;
     keyReply @5 :KeyReply;
     error @6 :ErrorReply;
+    knowledgeRequest @7 :KnowledgeRequest;
+    knowledgeReply @8 :KnowledgeReply;
   }
 }
