Spill only to servers with a free slot, and learn run times without waits

Cause: under load an entry sent to any of three servers; each cold run there displaced warm objects, until nothing was warm anywhere and queues stayed full. Run times that included a wait made every server look slow. Ruled out: too few slots (warm runs need 22 of 48). The test of the burst failed before.

--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -14,8 +14,9 @@
 
 from figfold.core.traffic.server_load import ServerLoad
 
-# Servers in the order of an object's preference that are weighed against each other.
-PREFERRED_SERVERS = 3
+# Servers in the order of an object's preference that are weighed against each other. Their memory
+# holds the objects of two places in this order, not of three.
+PREFERRED_SERVERS = 2
 # What a cold run costs the objects that it displaces, as waiting time.
 DISPLACEMENT_S = 0.15
 # Time in which a failed attempt is noticed and repeated elsewhere.
@@ -46,7 +47,15 @@
 
 @frozen
 class Choice:
-    """A server, and when its answer is expected, in seconds from now."""
+    """A server, and when its answer is expected, in seconds from now.
+
+    Attributes
+    ----------
+    run_s : float
+        Expected run alone, without the way and the wait.
+    waits : bool
+        Whether the request is expected to wait for a slot.
+    """
 
     server_id: str
     address: str
@@ -54,6 +63,7 @@
     run_s: float
     is_warm: bool
     is_cold_server: bool = False
+    waits: bool = False
 
 
 @define
@@ -107,6 +117,10 @@
         best, best_cost = None, inf
         for rank, server in enumerate(self._candidates(wanted, now_s, may_use_cold)):
             choice, cost = self._weigh(server, rank, wanted.key, durations, now_s)
+            if choice.waits and rank > 0 and wanted.key:
+                # A cold run that displaces warm objects pays only where a slot is free: otherwise
+                # a burst spreads every object over all servers, and none stays warm.
+                continue
             if byte_cost_s is not None:
                 cost += byte_cost_s(server.record.place)
             if cost < best_cost:
@@ -151,7 +165,10 @@
         if not is_warm:
             cost += DISPLACEMENT_S
         record = server.record
-        return Choice(record.id, record.address, expected_s, usual_s, is_warm, is_cold), cost
+        choice = Choice(
+            record.id, record.address, expected_s, usual_s, is_warm, is_cold, ahead > 0.0
+        )
+        return choice, cost
 
 
 @lru_cache(maxsize=65536)
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -364,12 +364,9 @@
             load.take_report(result.load, now)
         fingerprint = self.request.fingerprint
         if result.end is End.ANSWERED:
-            pace = result.load.pace if result.load is not None else 1.0
             expected_s = max(0.001, attempt.choice.expected_s)
             load.take_success(result.duration_s, expected_s, now)
-            distance_s = runner.beliefs.distance_of(server_id)
-            run_s = max(0.001, result.duration_s - distance_s) / max(0.1, pace)
-            runner.durations(self.route, self.service).add(run_s, attempt.choice.is_warm)
+            self._learn_duration(attempt.choice, result)
             runner.quarantine.record_success(fingerprint, now, server_id)
         elif result.code is Code.SERVER_SHED:
             load.take_shed(now)
@@ -387,6 +384,16 @@
         if result.code is not Code.OK:
             runner.metrics.count_code(result.code, service=self.service)
 
+    def _learn_duration(self, choice, result):
+        """Take a run time, unless the request may have waited at the server."""
+        waited = choice.waits or (result.load is not None and result.load.waiting > 0)
+        if waited or choice.is_cold_server:
+            return
+        pace = result.load.pace if result.load is not None else 1.0
+        distance_s = self.runner.beliefs.distance_of(choice.server_id)
+        run_s = max(0.001, result.duration_s - distance_s) / max(0.1, pace)
+        self.runner.durations(self.route, self.service).add(run_s, choice.is_warm)
+
     # Final answers.
 
     def _is_open(self):
--- /dev/null
+++ b/test/test_traffic_selection.py
@@ -0,0 +1,168 @@
+"""Where requests go when demand stands at the edge of the servers' slots."""
+
+import unittest
+from random import Random
+
+from figfold.core.traffic.durations import RouteDurations
+from figfold.core.traffic.fleet import Fleet, ServerRecord
+from figfold.core.traffic.selection import Selector, Wanted
+from figfold.core.traffic.server_load import LoadReport
+
+SLOTS = 3
+COLD_S = 0.75
+WARM_S = 0.225
+
+
+def make_selector(count, distance_s=0.001):
+    fleet = Fleet()
+    records = [
+        ServerRecord(f"s{i}", "stock", f"10.0.0.{i + 1}:80", "north", SLOTS, born_ms=1)
+        for i in range(count)
+    ]
+    fleet.take_listing(records, 0.0, False)
+    return Selector(fleet, {"north": "r"}, lambda _place: distance_s)
+
+
+def make_durations():
+    durations = RouteDurations()
+    for _ in range(5):
+        durations.add(COLD_S, False)
+        durations.add(WARM_S, True)
+    return durations
+
+
+def choose(selector, key, now_s=0.0, tried=(), durations=None):
+    wanted = Wanted("stock", key, frozenset(tried))
+    return selector.choose(wanted, durations or make_durations(), now_s, lambda _server: False)
+
+
+class AffinityTest(unittest.TestCase):
+    def test_all_entries_choose_alike(self):
+        one, other = make_selector(8), make_selector(8)
+        for key in map(str, range(50)):
+            self.assertEqual(choose(one, key).server_id, choose(other, key).server_id)
+
+    def test_server_that_leaves_moves_only_its_objects(self):
+        selector = make_selector(8)
+        before = {key: choose(selector, key).server_id for key in map(str, range(100))}
+        selector.fleet.take_removal("s3", 1.0, False)
+        for key, server_id in before.items():
+            if server_id != "s3":
+                self.assertEqual(choose(selector, key).server_id, server_id)
+
+    def test_full_server_spills_to_the_next_with_a_free_slot(self):
+        selector = make_selector(8)
+        home = choose(selector, "7").server_id
+        for attempt_id in range(12):
+            selector.load_by_server[home].start(attempt_id, "7", 0.0)
+        self.assertNotEqual(choose(selector, "7").server_id, home)
+
+    def test_burst_does_not_spill_onto_servers_without_a_free_slot(self):
+        """Each such cold run displaces warm objects, until none stays warm anywhere."""
+        selector = make_selector(8)
+        for server in selector.fleet.server_by_id.values():
+            load = selector.load(server)
+            for attempt_id in range(SLOTS):
+                load.start(attempt_id, "other", 0.0)
+        home = choose(make_selector(8), "7").server_id
+        for attempt_id in range(100, 106):
+            selector.load_by_server[home].start(attempt_id, "7", 0.0)
+        self.assertEqual(choose(selector, "7").server_id, home)
+
+    def test_server_that_was_tried_is_left_out(self):
+        selector = make_selector(2)
+        home = choose(selector, "7").server_id
+        self.assertNotEqual(choose(selector, "7", tried=[home]).server_id, home)
+        self.assertIsNone(choose(selector, "7", tried=["s0", "s1"]))
+
+
+class SlowServerTest(unittest.TestCase):
+    def test_slow_server_loses_its_objects_until_it_recovers(self):
+        selector = make_selector(6)
+        home = choose(selector, "7").server_id
+        for _ in range(5):
+            selector.load_by_server[home].take_success(2.0, WARM_S, 0.0)
+        self.assertNotEqual(choose(selector, "7").server_id, home)
+        self.assertEqual(choose(selector, "7", now_s=30.0).server_id, home)
+
+    def test_silent_server_loses_its_objects(self):
+        """Attempts that do not end say as much as a long answer would."""
+        selector = make_selector(6)
+        home = choose(selector, "7").server_id
+        selector.load_by_server[home].start(1, "7", 0.0)
+        self.assertNotEqual(choose(selector, "7", now_s=4.0).server_id, home)
+
+    def test_server_that_sheds_while_it_is_not_full_loses_requests(self):
+        selector = make_selector(6)
+        home = choose(selector, "7").server_id
+        for _ in range(6):
+            selector.load_by_server[home].take_shed(0.0)
+        self.assertNotEqual(choose(selector, "7", now_s=0.5).server_id, home)
+
+    def test_reported_queue_of_other_entries_counts_and_fades(self):
+        selector = make_selector(6)
+        home = choose(selector, "7").server_id
+        selector.load_by_server[home].take_report(LoadReport(3, 9, 3), 0.0)
+        self.assertNotEqual(choose(selector, "7", now_s=0.05).server_id, home)
+        self.assertEqual(choose(selector, "7", now_s=6.0).server_id, home)
+
+
+class OverloadTest(unittest.TestCase):
+    """Demand that a warm fleet bears twice over, and a cold one does not bear at all."""
+
+    SERVERS, OBJECTS, MEMORY, PER_S = 16, 144, 17, 100.0
+
+    def test_fleet_that_starts_cold_becomes_warm_under_load(self):
+        late = self._play(seconds=24.0)
+        self.assertLess(late, 0.1)
+
+    def _play(self, seconds):
+        """Return the part of the last third's requests that take over 0.6 s."""
+        random = Random(4)
+        selector = make_selector(self.SERVERS)
+        durations = RouteDurations()
+        free_at = {f"s{i}": [0.0] * SLOTS for i in range(self.SERVERS)}
+        memory = {f"s{i}": [] for i in range(self.SERVERS)}
+        running, now_s, late, count, attempt_id = [], 0.0, 0, 0, 0
+        while now_s < seconds:
+            now_s += random.expovariate(self.PER_S)
+            running = self._finish(selector, durations, running, now_s)
+            key = str(random.randrange(self.OBJECTS))
+            choice = choose(selector, key, now_s, durations=durations)
+            if choice.expected_s > 2.5:
+                late, count = late + (now_s > seconds / 1.5), count + (now_s > seconds / 1.5)
+                continue
+            end_s = self._run(free_at, memory, choice.server_id, key, now_s)
+            attempt_id += 1
+            selector.load_by_server[choice.server_id].start(attempt_id, key, now_s)
+            running.append((end_s, now_s, attempt_id, choice))
+            if now_s > seconds / 1.5:
+                count += 1
+                late += end_s - now_s > 0.6
+        return late / count
+
+    def _run(self, free_at, memory, server_id, key, now_s):
+        slot = min(range(SLOTS), key=free_at[server_id].__getitem__)
+        kept = memory[server_id]
+        run_s = WARM_S if key in kept else COLD_S
+        if key in kept:
+            kept.remove(key)
+        kept.append(key)
+        del kept[: -self.MEMORY]
+        end_s = max(now_s, free_at[server_id][slot]) + run_s
+        free_at[server_id][slot] = end_s
+        return end_s
+
+    def _finish(self, selector, durations, running, now_s):
+        for end_s, start_s, attempt_id, choice in running:
+            if end_s <= now_s:
+                load = selector.load_by_server[choice.server_id]
+                load.end(attempt_id)
+                load.take_success(end_s - start_s, choice.expected_s, end_s)
+                if not choice.waits:
+                    durations.add(end_s - start_s, choice.is_warm)
+        return [one for one in running if one[0] > now_s]
+
+
+if __name__ == "__main__":
+    unittest.main()
