Place objects by region as far as its slots go, and spill inside the region only

Cause: objects belong to the users of a region, yet two thirds of them were kept in another one: bytes between regions were the greatest price, and each answer paid for the way.

--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -2,21 +2,16 @@
 
 The pattern: demand stands at the edge of the servers' slots, an object costs a fraction at a
 server that holds it warm, and each server holds only a few dozen. Requests of one object therefore
-go to few servers, which all entries derive from the registered servers alone, and leave them only
-where waiting there costs more than a cold run elsewhere.
+go to the few servers of its placement, and leave the first of them only where waiting there costs
+more than a cold run at a free slot elsewhere.
 """
 
-from functools import lru_cache
-from hashlib import blake2b
-from math import inf, log
+from math import inf
 
 from attrs import Factory, define, frozen
 
 from figfold.core.traffic.server_load import ServerLoad
 
-# Servers in the order of an object's preference that are weighed against each other. Their memory
-# holds the objects of two places in this order, not of three.
-PREFERRED_SERVERS = 2
 # What a cold run costs the objects that it displaces, as waiting time.
 DISPLACEMENT_S = 0.15
 # Time in which a failed attempt is noticed and repeated elsewhere.
@@ -43,6 +38,7 @@
     key: str
     tried: frozenset = frozenset()
     home_regions: frozenset = frozenset()
+    is_bulk: bool = False
 
 
 @frozen
@@ -77,6 +73,7 @@
     """
 
     fleet: object
+    placement: object
     region_by_place: dict
     distance_s: object
     load_by_server: dict = Factory(dict)
@@ -137,8 +134,7 @@
         ready = [one for one in rested or usable if not one.is_cold(now_s) or may_use_cold(one)]
         if not wanted.key:
             return ready
-        ready.sort(key=lambda one: -_preference(wanted.service, wanted.key, one.record.id))
-        return ready[:PREFERRED_SERVERS]
+        return self.placement.order(wanted.service, wanted.key, ready, wanted.is_bulk)
 
     def _is_home(self, server, wanted):
         if not wanted.home_regions:
@@ -169,11 +165,3 @@
             record.id, record.address, expected_s, usual_s, is_warm, is_cold, ahead > 0.0
         )
         return choice, cost
-
-
-@lru_cache(maxsize=65536)
-def _preference(service, key, server_id):
-    """Return the weight of a server in an object's order of servers (rendezvous hashing)."""
-    text = f"{service}\0{key}\0{server_id}".encode("utf-8", "surrogateescape")
-    position = (int.from_bytes(blake2b(text, digest_size=8).digest()) + 1) / (2**64 + 1)
-    return -1.0 / log(position)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -12,6 +12,7 @@
 from figfold.core.membership import Membership
 from figfold.core.model import EntryReport, Instance, Role
 from figfold.core.quarantine import Quarantine
+from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector
 from figfold.core.traffic.splitting import Splitter
 from figfold.entry.clock import MS_PER_S, now_s, wall_s
@@ -158,6 +159,7 @@
         self.peers.handler_by_type = {KnowledgeRequest: self.knowledge.answer}
 
     def _make_runner(self):
+        settings = self.settings
         self.connections = Connections(
             IDLE_CONNECTION_S,
             ANSWER_BUFFER_BYTES,
@@ -167,7 +169,10 @@
         self.runner = Runner(
             beliefs=self.beliefs,
             selector=Selector(
-                self.beliefs.fleet, self.settings.region_by_place, self.beliefs.distance_s
+                self.beliefs.fleet,
+                Placement(settings.region, settings.place, settings.region_by_place),
+                settings.region_by_place,
+                self.beliefs.distance_s,
             ),
             sender=Sender.from_config(self.connections, self.beliefs.fleet),
             splitter=Splitter(),
@@ -175,7 +180,7 @@
             quarantine=self.quarantine,
             metrics=self.metrics,
             log=self.log,
-            settings=self.settings,
+            settings=settings,
             on_crash_sign=self.peers.announce_crash,
         )
         self.app = RequestApp(
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -234,6 +234,7 @@
         self._log(
             "attempt",
             server=choice.server_id,
+            key=self.request.key,
             number=self.progress.sent,
             hedge=is_hedge,
             warm=choice.is_warm,
@@ -258,7 +259,11 @@
     def _choose(self):
         runner = self.runner
         wanted = Wanted(
-            self.service, self.request.key, frozenset(self.tried), self.route.home_regions
+            self.service,
+            self.request.key,
+            frozenset(self.tried),
+            self.route.home_regions,
+            self.route.is_bulk,
         )
         byte_cost = runner.beliefs.byte_cost_s if self.route.is_bulk else None
         now = now_s()
--- a/test/test_traffic_selection.py
+++ b/test/test_traffic_selection.py
@@ -5,6 +5,7 @@
 
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.fleet import Fleet, ServerRecord
+from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector, Wanted
 from figfold.core.traffic.server_load import LoadReport
 
@@ -20,7 +21,8 @@
         for i in range(count)
     ]
     fleet.take_listing(records, 0.0, False)
-    return Selector(fleet, {"north": "r"}, lambda _place: distance_s)
+    regions = {"north": "r"}
+    return Selector(fleet, Placement("r", "north", regions), regions, lambda _place: distance_s)
 
 
 def make_durations():
