--- a/test/test_config.py
+++ b/test/test_config.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from figfold.config.gateway import load_gateway_settings
 from figfold.config.options import read_defaults
 from figfold.config.reader import FILE_LIMIT_BYTES, read_ini
 from figfold.config.settings import load_settings
@@ -52,6 +53,22 @@
 ).map("\n".join)
 
 
+GATEWAY_SETTINGS = """\
+[gateway]
+name = entry-1
+place = bne-north
+caller_address = 127.0.0.1:8000
+ready_address = 127.0.0.1:8001
+lookup_address = 127.0.0.1:8002
+peer_address = 127.0.0.1:8003
+metrics_address = 127.0.0.1:8004
+store_address = 127.0.0.1:8005
+
+[place bne-north]
+region = bne
+"""
+
+
 class ConfigTest(unittest.TestCase):
     def setUp(self):
         self.directory = Path(tempfile.mkdtemp())
@@ -197,8 +214,9 @@
             if kind == "include":
                 continue
             section = kinds.get(kind.split()[0], kind)
+            load = self.load_gateway if kind == "gateway" else self.load
             with self.subTest(section=section, name=name):
-                loaded = self.load([f"{section}.{name}={BAD_VALUE}"])
+                loaded = load([f"{section}.{name}={BAD_VALUE}"])
                 self.assertTrue(loaded.is_err())
                 self.assertIn(f"{section}.{name}", [one.field for one in loaded.unwrap_err()])
 
@@ -209,7 +227,24 @@
             if kind.split()[0] not in ("include", "link", "links", *SECTION_BY_KIND)
             and option.value != "required"
         ]
-        self.assertEqual(self.load(), self.load(overrides))
+        gateway = [one for one in overrides if one.startswith("gateway.")]
+        others = [one for one in overrides if one not in gateway]
+        self.assertEqual(self.load(), self.load(others))
+        shared = [one for one in others if one.startswith(("peers.", "log."))]
+        self.assertEqual(self.load_gateway(), self.load_gateway(gateway + shared))
+
+    def load_gateway(self, overrides=()):
+        path = self.write(GATEWAY_SETTINGS, "gateway.ini")
+        return load_gateway_settings(path, overrides)
+
+    def test_gateway_settings(self):
+        settings = self.load_gateway().unwrap()
+        self.assertEqual(settings.region, "bne")
+        self.assertEqual(settings.retry_ratio, 0.2)
+        loaded = self.load_gateway(["gateway.place=nowhere"])
+        self.assertEqual([one.field for one in loaded.unwrap_err()], ["gateway.place"])
+        loaded = load_gateway_settings(self.write("[log]\nlevel = INFO\n", "empty.ini"))
+        self.assertEqual([one.field for one in loaded.unwrap_err()], ["gateway"])
 
     def test_bad_overrides(self):
         for override in ("hedge.percent", "percent=5", ".=1", "service cutdesk.slots=0"):
