--- /dev/null
+++ b/test/test_traffic_rules.py
@@ -0,0 +1,237 @@
+"""Routes, splits, shared budgets, what follows an attempt, and whom to learn from."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from figfold.core.traffic.allowances import ColdAllowance, RetryAllowance, cold_sharers
+from figfold.core.traffic.attempts import End, Progress, Step, follow
+from figfold.core.traffic.configuration import Configuration, Repeat, Route, ServiceWeight
+from figfold.core.traffic.durations import RouteDurations
+from figfold.core.traffic.fleet import FleetServer
+from figfold.core.traffic.placement import Placement
+from figfold.core.traffic.server_load import ServerLoad
+from figfold.core.traffic.sources import AVOID_S, KnowledgeSource
+from figfold.core.traffic.splitting import Splitter
+from test.test_traffic_fleet import make_record
+
+
+def make_route(name="r", prefix="/a/", weights=(("stock", 1.0),), **changes):
+    services = tuple(ServiceWeight(service, weight) for service, weight in weights)
+    return Route(name, "host", prefix, changes.pop("repeat", Repeat.SAFE), services, **changes)
+
+
+class RouteTest(unittest.TestCase):
+    def test_longest_prefix_of_the_host_wins(self):
+        routes = {name: make_route(name, prefix) for name, prefix in (("x", "/a/"), ("y", "/a/b/"))}
+        configuration = Configuration(1, routes, {})
+        self.assertEqual(configuration.match("host", "/a/b/c").name, "y")
+        self.assertEqual(configuration.match("host", "/a/c").name, "x")
+        self.assertIsNone(configuration.match("host", "/ab"))
+        self.assertIsNone(configuration.match("other", "/a/"))
+
+
+class SplitTest(unittest.TestCase):
+    WEIGHTS = (("stock", 70.0), ("cut", 20.0), ("cert", 10.0))
+
+    @given(st.lists(st.integers(0, 9).map(str), min_size=60, max_size=60))
+    def test_each_service_keeps_its_share_whatever_the_objects_are(self, keys):
+        splitter, route = Splitter(), make_route(weights=self.WEIGHTS)
+        counts = Counter(splitter.choose(route, key) for key in keys)
+        for service, weight in self.WEIGHTS:
+            self.assertLess(abs(counts[service] / 60 - weight / 100), 0.1)
+
+    def test_service_without_weight_gets_nothing(self):
+        splitter = Splitter()
+        route = make_route(weights=(("stock", 100.0), ("cut", 0.0)))
+        self.assertEqual({splitter.choose(route, str(key)) for key in range(50)}, {"stock"})
+
+
+class AttemptTest(unittest.TestCase):
+    ONCE = make_route(repeat=Repeat.AT_MOST_ONCE, max_attempts=3)
+    SAFE = make_route(max_attempts=2)
+
+    def step(self, end, progress, route):
+        return follow(end, progress, route, 1.0, 0.1)[0]
+
+    def test_request_that_may_have_run_is_never_sent_again_nor_refused(self):
+        progress = Progress(reached=1, sent=1, may_have_run=True)
+        self.assertIs(self.step(End.FAILED, progress, self.ONCE), Step.FAIL)
+        self.assertIs(self.step(End.NOT_RUN, progress, self.ONCE), Step.FAIL)
+
+    def test_request_that_has_not_run_is_sent_again(self):
+        self.assertIs(self.step(End.NOT_RUN, Progress(sent=1), self.ONCE), Step.RETRY)
+        self.assertIs(self.step(End.NOT_SENT, Progress(sent=1), self.ONCE), Step.RETRY)
+
+    def test_repeatable_request_reaches_no_more_servers_than_allowed(self):
+        once = Progress(reached=1, sent=1, may_have_run=True)
+        twice = Progress(reached=2, sent=2, may_have_run=True)
+        self.assertIs(self.step(End.FAILED, once, self.SAFE), Step.RETRY)
+        self.assertIs(self.step(End.FAILED, twice, self.SAFE), Step.FAIL)
+
+    def test_refusal_without_time_left_says_not_run_only_if_so(self):
+        sent = follow(End.NOT_RUN, Progress(sent=1), self.SAFE, 0.05, 0.1)[0]
+        self.assertIs(sent, Step.REFUSE)
+        ran = Progress(reached=1, sent=1, may_have_run=True)
+        self.assertIs(follow(End.FAILED, ran, self.SAFE, 0.05, 0.1)[0], Step.FAIL)
+
+    @given(
+        st.sampled_from(End),
+        st.integers(0, 3),
+        st.booleans(),
+        st.booleans(),
+        st.floats(-1.0, 5.0),
+    )
+    def test_a_booking_that_may_have_run_has_no_second_send(
+        self, end, reached, may_have_run, repeatable, left_s
+    ):
+        route = self.SAFE if repeatable else self.ONCE
+        may_have_run = may_have_run or end in (End.FAILED, End.ERROR_ANSWERED)
+        progress = Progress(reached, max(1, reached), may_have_run)
+        step, _ = follow(end, progress, route, left_s, 0.1)
+        if may_have_run:
+            self.assertIsNot(step, Step.REFUSE)
+            if not repeatable:
+                self.assertIsNot(step, Step.RETRY)
+
+
+class AllowanceTest(unittest.TestCase):
+    RATIO, SLACK, WINDOW_S, ENTRIES = 0.2, 60, 10.0, 10
+
+    def test_entries_together_stay_inside_the_shared_budget(self):
+        """Every entry retries as often as it may, and is replaced in the middle of the window."""
+        seconds, allowed, requests = 0, 0, 0
+        for _ in range(self.ENTRIES):
+            for start_s in (0.0, 5.0):
+                budget = RetryAllowance(self.WINDOW_S, self.RATIO, self.SLACK)
+                for tick in range(50):
+                    now_s = start_s + tick * 0.1
+                    budget.count_request(now_s)
+                    requests += 1
+                    seconds += budget.take(self.ENTRIES, now_s)
+        allowed = self.RATIO * requests + self.SLACK
+        self.assertLessEqual(seconds, allowed)
+
+    def test_budget_comes_back_with_the_window(self):
+        budget = RetryAllowance(self.WINDOW_S, self.RATIO, self.SLACK)
+        while budget.take(1, 0.0):
+            pass
+        self.assertFalse(budget.take(1, 9.9))
+        self.assertTrue(budget.take(1, 10.1))
+
+
+class ColdTest(unittest.TestCase):
+    REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
+
+    def test_entries_next_to_a_cold_server_share_its_rate(self):
+        sharers = cold_sharers("a1", "a", ["a1", "a1", "a2", "b1"], self.REGIONS)
+        self.assertEqual(sharers, ["a1", "a1"])
+        self.assertEqual(cold_sharers("a1", "a", ["a2", "b1"], self.REGIONS), ["a2"])
+        self.assertEqual(cold_sharers("a1", "a", ["b1"], self.REGIONS), ["b1"])
+
+    def test_rate_over_all_sharers_is_what_the_server_bears(self):
+        total = 0
+        for _ in range(2):
+            cold = ColdAllowance()
+            for tick in range(100):
+                now_s = tick * 0.1
+                if cold.is_free("s", now_s):
+                    cold.take("s", 2.6, 2, now_s)
+                    total += 1
+        self.assertLessEqual(total, 2.6 * 10.0 + 2)
+
+
+class PlacementTest(unittest.TestCase):
+    """Demand alike in three regions, of which one has an eighth of the servers."""
+
+    REGION_BY_PLACE = {"bne-1": "bne", "bne-2": "bne", "tsv-1": "tsv", "mky-1": "mky"}
+    COUNTS = {"bne-1": 1, "bne-2": 1, "tsv-1": 6, "mky-1": 8}
+
+    def servers(self):
+        return [
+            FleetServer(make_record(f"{place}-s{i}", place=place), 0.0)
+            for place, count in self.COUNTS.items()
+            for i in range(count)
+        ]
+
+    def order(self, region, place, key, servers, **options):
+        placement = Placement(region, place, self.REGION_BY_PLACE)
+        return [one.record.id for one in placement.order("stock", key, servers, **options)]
+
+    def test_region_with_room_serves_its_own_objects(self):
+        for key in map(str, range(100)):
+            for server in self.order("mky", "mky-1", key, self.servers()):
+                self.assertTrue(server.startswith("mky"))
+
+    def test_small_region_gives_away_what_its_slots_do_not_bear(self):
+        homes = [self.order("bne", "bne-1", str(key), self.servers())[0] for key in range(1000)]
+        own = sum(server.startswith("bne") for server in homes) / 1000
+        self.assertGreater(own, 0.35)
+        self.assertLess(own, 0.6)
+
+    def test_entries_of_a_region_agree_and_moves_are_few(self):
+        servers = self.servers()
+        fewer = [one for one in servers if one.record.id != "mky-1-s0"]
+        moved = 0
+        for key in map(str, range(300)):
+            first = self.order("tsv", "tsv-1", key, servers)
+            self.assertEqual(first, self.order("tsv", "tsv-1", key, servers))
+            moved += first[0] != self.order("tsv", "tsv-1", key, fewer)[0]
+        self.assertEqual(moved, 0)
+
+    def test_large_answers_come_from_the_own_data_centre_first(self):
+        servers = [
+            FleetServer(make_record(f"s{i}", place=f"bne-{i % 2 + 1}"), 0.0) for i in range(8)
+        ]
+        for key in map(str, range(50)):
+            first = self.order("bne", "bne-2", key, servers, is_bulk=True)[0]
+            self.assertEqual(int(first[1:]) % 2 + 1, 2)
+
+    def test_region_without_servers_uses_the_others(self):
+        servers = [one for one in self.servers() if not one.record.place.startswith("bne")]
+        self.assertTrue(self.order("bne", "bne-1", "7", servers))
+
+
+class LoadTest(unittest.TestCase):
+    def test_one_failure_of_an_attempt_does_not_rest_a_server_but_two_do(self):
+        load = ServerLoad(3)
+        load.take_failure(0.0, is_unreachable=False)
+        self.assertLessEqual(load.backoff_until_s, 0.0)
+        load.take_failure(0.1, is_unreachable=False)
+        self.assertGreater(load.backoff_until_s, 0.1)
+
+    def test_run_times_are_learned_apart(self):
+        durations = RouteDurations()
+        for _ in range(20):
+            durations.add(0.75, False)
+            durations.add(0.25, True)
+        self.assertAlmostEqual(durations.cold_s(), 0.75, 2)
+        self.assertAlmostEqual(durations.warm_s(), 0.25, 2)
+
+
+class SourceTest(unittest.TestCase):
+    PLACES = {"e1": "a1", "e2": "a2", "e3": "a1", "f1": "b1"}
+
+    def source(self, name, region):
+        return KnowledgeSource(name, region, {"a1": "a", "a2": "a", "b1": "b"})
+
+    def test_one_entry_of_each_region_reads_the_store(self):
+        chosen = {name: self.source(name, "a").choose(self.PLACES, 0.0) for name in ("e1", "e2")}
+        self.assertEqual(chosen, {"e1": "e1", "e2": "e1"})
+        self.assertEqual(self.source("f1", "b").choose(self.PLACES, 0.0), "f1")
+
+    def test_silent_source_is_passed_over_for_a_while(self):
+        source = self.source("e3", "a")
+        source.note_failed("e1", 0.0)
+        self.assertEqual(source.choose(self.PLACES, 0.1), "e2")
+        self.assertEqual(source.choose(self.PLACES, AVOID_S + 0.1), "e1")
+
+    def test_entry_that_the_store_turns_away_asks_another_region(self):
+        self.assertEqual(self.source("e1", "a").substitute(self.PLACES, 0.0), "f1")
+        self.assertEqual(self.source("e1", "a").substitute({"e1": "a1"}, 0.0), "")
+
+
+if __name__ == "__main__":
+    unittest.main()
