Help out regions whose servers are full, reload settings, and read logs by command

Also: settings are reloaded whole or not at all, on SIGHUP and when the file changes; figfold trace and figfold refusals read the entries' logs.

--- a/figfold/core/traffic/allowances.py
+++ b/figfold/core/traffic/allowances.py
@@ -8,6 +8,9 @@
 # from it as well, and entries may disagree on how many they are.
 RATIO_PART = 0.8
 SLACK_PART = 0.5
+# Part of an entry's requests within the window that may overflow to other regions.
+OVERFLOW_PART = 0.06
+OVERFLOW_WINDOW_S = 2.0
 
 
 @define
@@ -46,6 +49,32 @@
         return True
 
 
+@define
+class OverflowAllowance:
+    """Requests that go to another region because the servers of their own are full.
+
+    A short wave must not move a large part of a region's requests at once: the other regions'
+    servers would be filled with cold runs.
+    """
+
+    _requests_s: deque = Factory(deque)
+    _moved_s: deque = Factory(deque)
+
+    def count_request(self, now_s):
+        """Count a request."""
+        self._requests_s.append(now_s)
+        _drop_older(self._requests_s, now_s - OVERFLOW_WINDOW_S)
+
+    def take(self, now_s):
+        """Use up a move to another region; returns whether there was one."""
+        _drop_older(self._requests_s, now_s - OVERFLOW_WINDOW_S)
+        _drop_older(self._moved_s, now_s - OVERFLOW_WINDOW_S)
+        if len(self._moved_s) + 1 > OVERFLOW_PART * len(self._requests_s) + 1:
+            return False
+        self._moved_s.append(now_s)
+        return True
+
+
 @define
 class ColdAllowance:
     """Requests to cold servers: the entries next to one share the rate that it bears."""
--- a/figfold/core/traffic/placement.py
+++ b/figfold/core/traffic/placement.py
@@ -20,6 +20,9 @@
 # take its requests when none is left there, since each cold run elsewhere displaces warm objects.
 IN_REGION = 2
 
+# Servers of other regions that are weighed when those of the object's region are full.
+OUTSIDE = 3
+
 
 @define
 class Placement:
@@ -62,6 +65,17 @@
 
         return sorted(inside, key=rank, reverse=True)[:IN_REGION]
 
+    def elsewhere(self, service, key, servers):
+        """Return servers of other regions that may help out when the object's own are full."""
+        outside = [
+            one for one in servers if self.region_by_place.get(one.record.place) != self.region
+        ]
+        return sorted(
+            outside,
+            key=lambda one: _preference(service, key, one.record.id, one.record.slots),
+            reverse=True,
+        )[:OUTSIDE]
+
     def _target(self, service, key, servers_by_region):
         slots_by_region = tuple(
             (region, sum(server.record.slots for server in servers))
--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -28,6 +28,10 @@
 
     Attributes
     ----------
+    is_overflow : bool
+        Whether the servers of the object's place are full, so that others with a free slot help.
+    helping_regions : frozenset[str]
+        The regions with room for that.
     key : str
         The object of the request; requests without one go to the least busy servers.
     tried : frozenset[str]
@@ -39,6 +43,8 @@
     tried: frozenset = frozenset()
     home_regions: frozenset = frozenset()
     is_bulk: bool = False
+    is_overflow: bool = False
+    helping_regions: frozenset = frozenset()
 
 
 @frozen
@@ -93,6 +99,14 @@
         """Return the load of a server by its id; one that is gone has a load of its own."""
         return self.load_by_server.get(server_id) or ServerLoad(1)
 
+    def free_slots(self, service, region, now_s):
+        """Return the slots of a region's servers that are believed free."""
+        return sum(
+            max(0.0, server.record.slots - self.load(server).busy(now_s))
+            for server in self.fleet.usable(service)
+            if self.region_by_place.get(server.record.place) == region
+        )
+
     def forget(self, server_id):
         """Forget a server that is gone."""
         self.load_by_server.pop(server_id, None)
@@ -113,8 +127,9 @@
         """
         best, best_cost = None, inf
         for rank, server in enumerate(self._candidates(wanted, now_s, may_use_cold)):
-            choice, cost = self._weigh(server, rank, wanted.key, durations, now_s)
-            if choice.waits and rank > 0 and wanted.key:
+            is_home = rank == 0 and not wanted.is_overflow
+            choice, cost = self._weigh(server, is_home, wanted.key, durations, now_s)
+            if choice.waits and (rank > 0 or wanted.is_overflow) and wanted.key:
                 # A cold run that displaces warm objects pays only where a slot is free: otherwise
                 # a burst spreads every object over all servers, and none stays warm.
                 continue
@@ -134,6 +149,13 @@
         ready = [one for one in rested or usable if not one.is_cold(now_s) or may_use_cold(one)]
         if not wanted.key:
             return ready
+        if wanted.is_overflow:
+            helpers = [
+                one
+                for one in ready
+                if self.region_by_place.get(one.record.place) in wanted.helping_regions
+            ]
+            return self.placement.elsewhere(wanted.service, wanted.key, helpers)
         return self.placement.order(wanted.service, wanted.key, ready, wanted.is_bulk)
 
     def _is_home(self, server, wanted):
@@ -141,9 +163,9 @@
             return True
         return self.region_by_place.get(server.record.place) in wanted.home_regions
 
-    def _weigh(self, server, rank, key, durations, now_s):
+    def _weigh(self, server, is_home, key, durations, now_s):
         load = self.load(server)
-        is_warm = bool(key) and (rank == 0 or load.is_warm(key))
+        is_warm = bool(key) and (is_home or load.is_warm(key))
         usual_s = durations.warm_s() if is_warm else durations.cold_s()
         factor = load.current_pace(now_s) * load.current_slowness(now_s)
         overdue = load.overdue(durations.cold_s(), now_s)
--- a/figfold/gateway/beliefs.py
+++ b/figfold/gateway/beliefs.py
@@ -18,6 +18,8 @@
 # What a large answer that crosses data centres costs others on the way, as waiting time.
 BULK_OTHER_PLACE_S = 0.25
 BULK_OTHER_REGION_S = 0.4
+# Part of a region's slots that its entries must believe free before it helps out another region.
+HELPING_PART = 0.35
 # A server that failed may have started again, and is then cold, before the store tells so.
 RESTART_NEWS_S = 5.0
 
@@ -149,6 +151,23 @@
         )
         return len(places) if self.place in places else 0
 
+    def regions_with_room(self, service):
+        """Return the regions whose own entries say that a good part of the slots is free."""
+        slots_by_region, free_by_region = {}, {}
+        for server in self.fleet.usable(service):
+            region = self.region_by_place.get(server.record.place, "")
+            slots_by_region[region] = slots_by_region.get(region, 0) + server.record.slots
+        for entry in self.membership.live_entries(now_s()).values():
+            load = entry.load_by_service.get(service)
+            if load is not None:
+                region = self.region_by_place.get(entry.place, "")
+                free_by_region.setdefault(region, []).append(load.room)
+        return {
+            region
+            for region, free in free_by_region.items()
+            if min(free) >= HELPING_PART * slots_by_region.get(region, inf)
+        }
+
     # Entries.
 
     def live_places(self):
--- a/figfold/gateway/main.py
+++ b/figfold/gateway/main.py
@@ -17,8 +17,10 @@
 from loguru import logger  # noqa: E402
 
 from figfold.config.gateway import load_gateway_settings  # noqa: E402
+from figfold.entry.loops import run_every  # noqa: E402
 from figfold.gateway.events import EventLog  # noqa: E402
 from figfold.gateway.process import GatewayProcess  # noqa: E402
+from figfold.gateway.reload import CHECK_INTERVAL_S, SettingsReload  # noqa: E402
 
 SETTINGS_VARIABLE = "FIGFOLD_BOOT"
 EXIT_SETTINGS = 2
@@ -44,8 +46,10 @@
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    signal.signal(signal.SIGHUP, lambda _number, _frame: logger.info("reload-asked"))
+    reload = SettingsReload.from_config(path, process, logger)
+    signal.signal(signal.SIGHUP, lambda _number, _frame: eventlet.spawn_n(reload.reload, "signal"))
     process.start()
+    eventlet.spawn_n(run_every, CHECK_INTERVAL_S, reload.check, "settings", process.metrics, logger)
     asked_to_stop.wait()
     process.stop()
     os._exit(0)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -10,7 +10,7 @@
 from figfold.core.confirmation import Confirmation
 from figfold.core.entries import MembershipSettings
 from figfold.core.membership import Membership
-from figfold.core.model import EntryReport, Instance, Role
+from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
 from figfold.core.quarantine import Quarantine
 from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector
@@ -52,6 +52,20 @@
 STOP_POLL_S = 0.02
 REGISTER_PAUSE_S = 1.0
 UNCONFIRMED_S = 4.0
+# Options that a running process cannot change.
+FIXED = (
+    "name",
+    "place",
+    "caller_address",
+    "ready_address",
+    "lookup_address",
+    "peer_address",
+    "metrics_address",
+    "store_address",
+    "store_timeout_s",
+    "region_by_place",
+    "peers",
+)
 
 
 @define(eq=False)
@@ -67,6 +81,7 @@
     watch: StoreWatch = None
     peers: PeerKeeper = None
     app: RequestApp = None
+    lookup: LookupApp = None
     peer_server: PeerServer = None
     connections: Connections = None
     knowledge: KnowledgeKeeper = None
@@ -200,8 +215,8 @@
         protocol = make_protocol(self.metrics)
         self._serve(settings.caller_address, self.app, make_gateway_protocol(self.metrics))
         self._serve(settings.ready_address, ReadyApp(self.is_ready), protocol)
-        lookup = LookupApp(self.look_up, settings.lookup_ttl_s, self.metrics)
-        self._serve(settings.lookup_address, lookup, protocol)
+        self.lookup = LookupApp(self.look_up, settings.lookup_ttl_s, self.metrics)
+        self._serve(settings.lookup_address, self.lookup, protocol)
         self._serve(settings.metrics_address, MetricsApp(self._render), protocol)
         self.knowledge.start()
         eventlet.spawn_n(self._register)
@@ -226,6 +241,21 @@
         self.log.bind(in_progress=self.app.in_progress).info("stopped")
         self.event_log.flush()
 
+    def reload(self, settings):
+        """Put checked settings in force, whole or not at all; return the options that forbid it.
+
+        Addresses and names are bound or told to others at the start, and need a new process.
+        """
+        fixed = [one for one in FIXED if getattr(settings, one) != getattr(self.settings, one)]
+        if fixed:
+            return fixed
+        self.settings = settings
+        self.runner.take_settings(settings)
+        self.knowledge.settings = settings
+        self.watch.settings = settings
+        self.lookup.ttl_s = settings.lookup_ttl_s
+        return []
+
     def is_ready(self):
         """Return whether callers may be sent here."""
         known = self.beliefs.configuration is not None and self.beliefs.fleet.is_known
@@ -297,10 +327,21 @@
         return {
             "leaving": self.stage != "serving",
             "plan_digest": "",
+            "loads": self._loads(now),
             "quarantined": self.quarantine.entries(now),
             "strikes": self.quarantine.strikes(now),
         }
 
+    def _loads(self, now):
+        """Return the slots of the own region that are free, for entries whose own are not."""
+        configuration = self.beliefs.configuration
+        services = sorted(configuration.service_by_name) if configuration else ()
+        selector = self.runner.selector
+        return tuple(
+            ServiceLoad(name, 0, 0, int(selector.free_slots(name, self.settings.region, now)))
+            for name in services
+        )
+
     def _body_limit(self):
         configuration = self.beliefs.configuration
         return configuration.limits.body_bytes if configuration else ANSWER_BUFFER_BYTES
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from figfold.core.codes import Code
-from figfold.core.traffic.allowances import RetryAllowance
+from figfold.core.traffic.allowances import OverflowAllowance, RetryAllowance
 from figfold.core.traffic.attempts import End, Progress, Step, follow
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.selection import Wanted
@@ -105,6 +105,7 @@
     log: object
     settings: object
     on_crash_sign: object
+    overflow: OverflowAllowance = Factory(OverflowAllowance)
     in_progress: int = 0
     _durations_by_route: dict = Factory(dict)
     _allowance_by_service: dict = Factory(dict)
@@ -130,6 +131,7 @@
             return Err(FinalRefusal(Code.QUARANTINED, True, "quarantined", RETRY_AFTER_LIMIT_S))
         service = self.splitter.choose(route, request.key)
         self.allowance(service).count_request(now_s())
+        self.overflow.count_request(now_s())
         run = _Run(self, request, route, service, configuration)
         stop_watching = watch_caller(lambda: run.events.put(CALLER_GONE))
         self.in_progress += 1
@@ -149,6 +151,14 @@
             )
         return self._allowance_by_service[service]
 
+    def take_settings(self, settings):
+        """Put other settings in force; budgets that are spent stay spent."""
+        self.settings = settings
+        for allowance in self._allowance_by_service.values():
+            allowance.window_s = settings.retry_window_s
+            allowance.ratio = settings.retry_ratio
+            allowance.slack = settings.retry_slack
+
     def durations(self, route, service):
         """Return the run times of a route's requests at a service."""
         return self._durations_by_route.setdefault((route.name, service), RouteDurations())
@@ -217,9 +227,11 @@
 
     def _start(self, is_hedge):
         choice = self._choose()
+        now = now_s()
+        if choice is None or choice.expected_s > self.ends_s - now:
+            choice = self._choose_elsewhere(now) or choice
         if choice is None:
             return False
-        now = now_s()
         if choice.expected_s > self.ends_s - now and not self.progress.sent:
             self._log("too-late", server=choice.server_id, expected_s=round(choice.expected_s, 3))
             self.last_code = Code.DEADLINE_TOO_SHORT
@@ -256,7 +268,14 @@
             result = AttemptResult(End.FAILED, Code.ENTRY_ERROR, now_s() - self.request.arrived_s)
         self.events.put(Ended(attempt_id, result))
 
-    def _choose(self):
+    def _choose_elsewhere(self, now):
+        """Return a choice in another region, while only a small part of the requests goes there."""
+        choice = self._choose(is_overflow=True)
+        if choice is None or choice.expected_s > self.ends_s - now:
+            return None
+        return choice if self.runner.overflow.take(now) else None
+
+    def _choose(self, is_overflow=False):
         runner = self.runner
         wanted = Wanted(
             self.service,
@@ -264,6 +283,12 @@
             frozenset(self.tried),
             self.route.home_regions,
             self.route.is_bulk,
+            is_overflow,
+            (
+                frozenset(runner.beliefs.regions_with_room(self.service))
+                if is_overflow
+                else frozenset()
+            ),
         )
         byte_cost = runner.beliefs.byte_cost_s if self.route.is_bulk else None
         now = now_s()
--- a/figfold/ui/commands.py
+++ b/figfold/ui/commands.py
@@ -1,10 +1,12 @@
 """The commands as Fire shows them: each function only describes what to run."""
 
+import sys
 from collections.abc import Callable
 
 from attrs import frozen
 
-from figfold.ui.arguments import read_flag
+from figfold.ui.arguments import read_flag, read_seconds
+from figfold.ui.logs import sum_refusals, trace_request
 from figfold.ui.output import Report, UserError
 from figfold.ui.overview import explain_choice, show_status
 from figfold.ui.parse import Described, checks_values
@@ -19,6 +21,7 @@
 from figfold.ui.sheets import apply_sheet, check_settings, check_sheet
 
 DEFAULT_WAIT_S = "10"
+LAST_S = "1e12"  # After every time that a log can name.
 
 
 @frozen
@@ -30,7 +33,7 @@
 
 
 @checks_values
-def settings_check(file, *, deployment=False, json=False):
+def settings_check(file, *, deployment=False, gateway=False, json=False):
     """Check a settings file and print every fault.
 
     Parameters
@@ -39,11 +42,14 @@
         The settings file of an entry.
     deployment : bool
         Check the file of a whole deployment, which may lack the sections [entry] and [platform].
+    gateway : bool
+        Check the file of an entry on the users' platform, with the section [gateway].
     json : bool
         Print JSON.
     """
-    is_deployment = read_flag(deployment)
-    return Command(lambda: check_settings(file, is_deployment), read_flag(json))
+    form = "deployment" if read_flag(deployment) else "entry"
+    form = "gateway" if read_flag(gateway) else form
+    return Command(lambda: check_settings(file, form), read_flag(json))
 
 
 @checks_values
@@ -257,6 +263,35 @@
     return Command(lambda: undrain_place(place, settings, platform, operator, wait_s), as_json)
 
 
+@checks_values
+def trace(request_id, *, json=False):
+    """Show the story of one request, from the logs of entries on standard input.
+
+    Parameters
+    ----------
+    request_id : str
+        The id that the caller gave the request.
+    json : bool
+        Print JSON.
+    """
+    return Command(lambda: trace_request(sys.stdin, request_id), read_flag(json))
+
+
+@checks_values
+def refusals(*, from_s="0", until_s=LAST_S, json=False):
+    """Sum up why requests ended without a server's answer, from logs on standard input.
+
+    Parameters
+    ----------
+    from_s, until_s : str
+        Bounds of the time, as Unix time in seconds.
+    json : bool
+        Print JSON.
+    """
+    start_s, end_s = read_seconds("from_s", from_s), read_seconds("until_s", until_s)
+    return Command(lambda: sum_refusals(sys.stdin, start_s, end_s), read_flag(json))
+
+
 COMMANDS = {
     "settings": {"check": settings_check},
     "sheet": {"check": sheet_check, "apply": sheet_apply},
@@ -269,4 +304,6 @@
     "status": status,
     "explain": explain,
     "drain": drain,
+    "trace": trace,
+    "refusals": refusals,
 }
--- /dev/null
+++ b/figfold/ui/logs.py
@@ -0,0 +1,92 @@
+"""Work of the commands that read the logs of entries: one request's story, and all refusals."""
+
+import json
+from collections import Counter
+
+from figfold.core.codes import Code, Failure
+from figfold.ui.output import Report, UserError, format_table
+
+STORY_COLUMNS = ("time", "entry", "event", "details")
+SUMMARY_COLUMNS = ("outcome", "code", "name", "reason", "service", "count")
+# What the columns of a story show already.
+SHOWN = frozenset(("time", "entry", "event", "level", "id"))
+FINAL_EVENTS = frozenset(("refused", "failed"))
+REQUEST_EVENTS = FINAL_EVENTS | {"answered"}
+
+
+def read_events(lines):
+    """Yield the events of log lines; text before an event's brace is left out, others are skipped.
+
+    Parameters
+    ----------
+    lines : iterable of str
+    """
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            event = json.loads(line[start:])
+        except ValueError:
+            # Collectors cut long lines and mix in those of other programs.
+            continue
+        if isinstance(event, dict) and "event" in event:
+            yield event
+
+
+def trace_request(lines, request_id):
+    """Return the story of one request, in the order of time."""
+    events = [event for event in read_events(lines) if event.get("id") == request_id]
+    if not events:
+        message = f"no line of these logs names the request {request_id}"
+        remedy = "give the logs of all entries around its time; see dropped_before for lost lines"
+        raise UserError.from_failure(Failure(Code.NOT_FOUND, message, remedy))
+    events.sort(key=_time)
+    rows = [
+        (f"{_time(event):.3f}", str(event.get("entry", "")), event["event"], _details(event))
+        for event in events
+    ]
+    return Report(format_table(STORY_COLUMNS, rows), {"events": events}, ())
+
+
+def sum_refusals(lines, start_s, end_s):
+    """Return how many requests ended without a server's answer, by reason, within a time."""
+    service_by_id, counts, total = {}, Counter(), 0
+    for event in read_events(lines):
+        if event["event"] == "attempt":
+            service_by_id[event.get("id")] = event.get("service", "")
+        if event["event"] not in REQUEST_EVENTS or not start_s <= _time(event) < end_s:
+            continue
+        total += 1
+        if event["event"] in FINAL_EVENTS:
+            service = service_by_id.get(event.get("id"), "")
+            counts[
+                event["event"],
+                event.get("code", 0),
+                event.get("name", ""),
+                event.get("reason", ""),
+                service,
+            ] += 1
+    rows = [(*map(str, key), str(number)) for key, number in counts.most_common()]
+    ended = sum(counts.values())
+    text = f"{ended} of {total} requests ended without a server's answer"
+    if rows:
+        text = f"{text}\n\n{format_table(SUMMARY_COLUMNS, rows)}"
+    value = {
+        "requests": total,
+        "refusals": [dict(zip(SUMMARY_COLUMNS, row, strict=True)) for row in rows],
+    }
+    return Report(text, value, ())
+
+
+def _time(event):
+    time_s = event.get("time")
+    return float(time_s) if isinstance(time_s, (int, float)) else 0.0
+
+
+def _details(event):
+    return " ".join(
+        f"{name}={value}"
+        for name, value in event.items()
+        if name not in SHOWN and value is not None
+    )
--- a/figfold/ui/sheets.py
+++ b/figfold/ui/sheets.py
@@ -1,5 +1,6 @@
 """Work of the commands on settings files and sheets."""
 
+from figfold.config.gateway import load_gateway_settings
 from figfold.config.settings import ENTRY_NEEDS, load_settings
 from figfold.core.codes import Code, Failure
 from figfold.core.sheet import SHEET_LIMIT_BYTES, read_sheet
@@ -15,9 +16,12 @@
 from figfold.ui.store import PlanStore
 
 
-def check_settings(path, is_deployment):
-    """Check a settings file."""
-    needs = () if is_deployment else ENTRY_NEEDS
+def check_settings(path, form):
+    """Check a settings file of the form ``entry``, ``deployment`` or ``gateway``."""
+    if form == "gateway":
+        places = unwrap(load_gateway_settings(path)).region_by_place
+        return Report(f"{path}: no fault ({len(places)} places)", {"places": len(places)})
+    needs = () if form == "deployment" else ENTRY_NEEDS
     topology = unwrap(load_settings(path, needs=needs)).topology
     counts = {
         "regions": len(topology.region_by_name),
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -331,6 +331,23 @@
         self.assertEqual(entry.child.poll(), 0)
         self.assertEqual(self.deployment.runs("s2"), 1)
 
+    def test_reload_is_whole_or_refused_with_its_reason(self):
+        entry = self.deployment.start_entry()
+        text = entry.settings.read_text(encoding="utf-8")
+        for changed, event in (
+            (text.replace("[log]", "lookup_ttl_ms = 700\n[log]"), "reloaded"),
+            (text.replace("stop_grace_s = 2", "stop_grace_s = soon"), "reload-refused"),
+            (text.replace("bne-north\ncaller", "bne-south\ncaller"), "reload-refused"),
+        ):
+            entry.settings.write_text(changed, encoding="utf-8")
+            entry.child.send_signal(signal.SIGHUP)
+            eventlet.sleep(0.6)
+            last = [one for one in entry.events() if one["event"].startswith("reload")][-1]
+            self.assertEqual(last["event"], event, last)
+        _, _, body = entry.get("lookup", "/resolve?name=h&region=bne&zone=bne-north")
+        self.assertEqual(json.loads(body)["ttlS"], 0.7)
+        self.assertEqual(entry.request("h1")[0], 200)
+
     def test_settings_that_cannot_be_used_end_with_a_numbered_error(self):
         path = Path(self.deployment.folder.name) / "bad.ini"
         path.write_text("[gateway]\nname = x\n", encoding="utf-8")
--- a/test/test_traffic_rules.py
+++ b/test/test_traffic_rules.py
@@ -6,7 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from figfold.core.traffic.allowances import ColdAllowance, RetryAllowance, cold_sharers
+from figfold.core.traffic.allowances import (
+    ColdAllowance,
+    OverflowAllowance,
+    RetryAllowance,
+    cold_sharers,
+)
 from figfold.core.traffic.attempts import End, Progress, Step, follow
 from figfold.core.traffic.configuration import Configuration, Repeat, Route, ServiceWeight
 from figfold.core.traffic.durations import RouteDurations
@@ -122,6 +127,20 @@
         self.assertTrue(budget.take(1, 10.1))
 
 
+class OverflowTest(unittest.TestCase):
+    def test_only_a_small_part_of_a_wave_goes_to_other_regions(self):
+        overflow, moved = OverflowAllowance(), []
+        for tick in range(400):
+            now_s = tick * 0.05
+            overflow.count_request(now_s)
+            if overflow.take(now_s):
+                moved.append(now_s)
+        self.assertTrue(moved)
+        for start_s in moved:
+            inside = [one for one in moved if start_s <= one < start_s + 2.0]
+            self.assertLessEqual(len(inside), 0.15 * 40)
+
+
 class ColdTest(unittest.TestCase):
     REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
 
@@ -189,6 +208,12 @@
             first = self.order("bne", "bne-2", key, servers, is_bulk=True)[0]
             self.assertEqual(int(first[1:]) % 2 + 1, 2)
 
+    def test_other_regions_help_out(self):
+        placement = Placement("bne", "bne-1", self.REGION_BY_PLACE)
+        helpers = placement.elsewhere("stock", "7", self.servers())
+        self.assertTrue(helpers)
+        self.assertFalse([one for one in helpers if one.record.place.startswith("bne")])
+
     def test_region_without_servers_uses_the_others(self):
         servers = [one for one in self.servers() if not one.record.place.startswith("bne")]
         self.assertTrue(self.order("bne", "bne-1", "7", servers))
