--- a/figfold/core/traffic/placement.py
+++ b/figfold/core/traffic/placement.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 from math import log
 
-from attrs import Factory, define
+from attrs import define
 
 # How much of its share of all requests a region with just its share of the slots serves itself,
 # before objects go to others: the users of no region are over twice as many as its neighbours'.
@@ -38,26 +38,21 @@
     region: str
     place: str
     region_by_place: dict
-    _shares_by_key: dict = Factory(dict)
 
-    def order(self, service, key, servers, is_bulk=False):
+    def order(self, service, key, usable, ready, is_bulk=False):
         """Return the servers to weigh for an object, the best place first.
 
         Parameters
         ----------
-        servers : list[FleetServer]
-            Those that may be sent the request.
+        usable : list[FleetServer]
+            All servers of the service that may be used; they decide where the object belongs.
+        ready : list[FleetServer]
+            Those of them that may be sent this request now.
         is_bulk : bool
             Whether the answers are large: then servers of the own data centre come first.
         """
-        servers_by_region = {}
-        for server in servers:
-            region = self.region_by_place.get(server.record.place, "")
-            servers_by_region.setdefault(region, []).append(server)
-        target = self._target(service, key, servers_by_region)
-        inside = servers_by_region.get(target, [])
-        if not inside:
-            inside = servers
+        target = self._target(service, key, usable)
+        inside = [one for one in ready if self._region_of(one) == target] or ready
 
         def rank(server):
             is_near = is_bulk and server.record.place == self.place
@@ -65,6 +60,9 @@
 
         return sorted(inside, key=rank, reverse=True)[:IN_REGION]
 
+    def _region_of(self, server):
+        return self.region_by_place.get(server.record.place, "")
+
     def elsewhere(self, service, key, servers):
         """Return servers of other regions that may help out when the object's own are full."""
         outside = [
@@ -76,14 +74,14 @@
             reverse=True,
         )[:OUTSIDE]
 
-    def _target(self, service, key, servers_by_region):
-        slots_by_region = tuple(
-            (region, sum(server.record.slots for server in servers))
-            for region, servers in sorted(servers_by_region.items())
-        )
+    def _target(self, service, key, usable):
+        slots_by_region = {}
+        for server in usable:
+            region = self._region_of(server)
+            slots_by_region[region] = slots_by_region.get(region, 0) + server.record.slots
         regions = tuple(sorted(set(self.region_by_place.values())))
         position = _position(service, key)
-        shares = _shares(self.region, regions, slots_by_region)
+        shares = _shares(self.region, regions, tuple(sorted(slots_by_region.items())))
         for region, share in shares:
             position -= share
             if position < 0.0:
--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -140,13 +140,10 @@
         return best
 
     def _candidates(self, wanted, now_s, may_use_cold):
-        usable = [
-            server
-            for server in self.fleet.usable(wanted.service)
-            if server.record.id not in wanted.tried and self._is_home(server, wanted)
-        ]
-        rested = [one for one in usable if now_s >= self.load(one).backoff_until_s]
-        ready = [one for one in rested or usable if not one.is_cold(now_s) or may_use_cold(one)]
+        usable = [one for one in self.fleet.usable(wanted.service) if self._is_home(one, wanted)]
+        untried = [one for one in usable if one.record.id not in wanted.tried]
+        rested = [one for one in untried if now_s >= self.load(one).backoff_until_s]
+        ready = [one for one in rested or untried if not one.is_cold(now_s) or may_use_cold(one)]
         if not wanted.key:
             return ready
         if wanted.is_overflow:
@@ -156,7 +153,7 @@
                 if self.region_by_place.get(one.record.place) in wanted.helping_regions
             ]
             return self.placement.elsewhere(wanted.service, wanted.key, helpers)
-        return self.placement.order(wanted.service, wanted.key, ready, wanted.is_bulk)
+        return self.placement.order(wanted.service, wanted.key, usable, ready, wanted.is_bulk)
 
     def _is_home(self, server, wanted):
         if not wanted.home_regions:
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -233,7 +233,12 @@
         if choice is None:
             return False
         if choice.expected_s > self.ends_s - now and not self.progress.sent:
-            self._log("too-late", server=choice.server_id, expected_s=round(choice.expected_s, 3))
+            self._log(
+                "too-late",
+                server=choice.server_id,
+                expected_ms=round(choice.expected_s * 1000),
+                left_ms=round((self.ends_s - now) * 1000),
+            )
             self.last_code = Code.DEADLINE_TOO_SHORT
             return False
         runner = self.runner
--- a/figfold/wire/codec.py
+++ b/figfold/wire/codec.py
@@ -1,8 +1,5 @@
 """Encoding of peer messages, and decoding that checks every field."""
 
-import re
-from functools import lru_cache
-from ipaddress import ip_address
 from pathlib import Path
 
 import capnp
@@ -18,7 +15,25 @@
     MAX_STRIKES,
 )
 from figfold.core.model import EntryReport, QuarantinedRequest, ServiceLoad, SharedStrike
-from figfold.core.traffic.fleet import FleetNews, ServerRecord
+from figfold.wire.fields import (
+    KEY,
+    MAX_ERROR_CHARS,
+    MAX_STATE_CHARS,
+    address_bytes,
+    address_text,
+    digest_of,
+    duration_of,
+    limited,
+    matching,
+    name_of,
+    tuple_of,
+)
+from figfold.wire.knowledge import (
+    read_knowledge_reply,
+    read_knowledge_request,
+    write_knowledge_reply,
+    write_knowledge_request,
+)
 from figfold.wire.messages import (
     ErrorReply,
     KeyQuery,
@@ -38,83 +53,8 @@
 TRAVERSAL_LIMIT_WORDS = 2 * MAX_MESSAGE_BYTES // WORD_BYTES
 NESTING_LIMIT = 8
 ROOT_POINTER_WORDS = 1
-MAX_NAME_CHARS = 128
-MAX_SERVERS = 2000
-MAX_PLACES = 1000
-MAX_KEY_CHARS = 256
-MAX_STATE_CHARS = 64 * 1024
-MAX_ERROR_CHARS = 4096
-MAX_DURATION_S = 1e9
-PORT_BYTES = 2
-DIGEST_BYTES = 32
-ADDRESS_CACHE_SIZE = 4096
-
-_NAME = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._:\[\]-]{{0,{MAX_NAME_CHARS - 1}}}")
-_KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
-_schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
-
-
-class FieldError(ValueError):
-    """A field of a message is out of its range; raised and caught in this module only."""
-
-
-# Checks of single fields.
-
-
-def _matching(pattern, text, name):
-    if not pattern.fullmatch(text):
-        raise FieldError(f"{name} is not valid: {text[:40]!r}")
-    return text
-
-
-def _name(text, name="name"):
-    return _matching(_NAME, text, name)
-
-
-@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
-def _address_bytes(text):
-    if not text:
-        return b""
-    host, _, port = text.rpartition(":")
-    number = ip_address(host.removeprefix("[").removesuffix("]"))
-    return number.packed + int(port).to_bytes(PORT_BYTES)
 
-
-@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
-def _address_text(data):
-    if not data:
-        return ""
-    # The length tells IPv4 from IPv6; any other one is an error.
-    host = ip_address(data[:-PORT_BYTES])
-    port = int.from_bytes(data[-PORT_BYTES:])
-    if not port:
-        raise FieldError(f"an address at {host} has no port")
-    return f"{host}:{port}" if host.version == 4 else f"[{host}]:{port}"
-
-
-def _digest(data):
-    if len(data) > DIGEST_BYTES:
-        raise FieldError(f"digest has {len(data)} bytes")
-    return data.hex()
-
-
-def _duration(value, name):
-    # The comparison also fails for infinity and for NaN.
-    if not 0 <= value <= MAX_DURATION_S:
-        raise FieldError(f"{name} is out of range: {value!r}")
-    return value
-
-
-def _limited(text, limit, name):
-    if len(text) > limit:
-        raise FieldError(f"{name} is longer than {limit} characters")
-    return text
-
-
-def _tuple(items, limit, convert, name):
-    if len(items) > limit:
-        raise FieldError(f"{name} has more than {limit} items")
-    return tuple(convert(item) for item in items)
+_schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
 
 # Report.
@@ -125,9 +65,9 @@
     body.name = report.name
     body.place = report.place
     body.incarnation = report.incarnation
-    body.address = _address_bytes(report.address)
-    body.peerAddress = _address_bytes(report.peer_address)
-    body.adminAddress = _address_bytes(report.admin_address)
+    body.address = address_bytes(report.address)
+    body.peerAddress = address_bytes(report.peer_address)
+    body.adminAddress = address_bytes(report.admin_address)
     body.leaving = report.leaving
     body.planVersion = report.plan_version
     body.planDigest = bytes.fromhex(report.plan_digest)
@@ -169,44 +109,46 @@
         item.place = known.place
         item.incarnation = known.incarnation
         item.heardAgeMs = known.heard_age_ms
-        item.peerAddress = _address_bytes(known.peer_address)
+        item.peerAddress = address_bytes(known.peer_address)
 
 
 def _read_report(body):
     report = EntryReport(
-        name=_name(body.name),
-        place=_name(body.place, "place"),
+        name=name_of(body.name),
+        place=name_of(body.place, "place"),
         incarnation=body.incarnation,
-        address=_address_text(body.address),
-        peer_address=_address_text(body.peerAddress),
-        admin_address=_address_text(body.adminAddress),
+        address=address_text(body.address),
+        peer_address=address_text(body.peerAddress),
+        admin_address=address_text(body.adminAddress),
         leaving=body.leaving,
         plan_version=body.planVersion,
-        plan_digest=_digest(body.planDigest),
-        store_age_s=_duration(body.storeAgeS, "storeAgeS"),
-        loads=_tuple(body.loads, MAX_LOADS, _read_load, "loads"),
-        quarantined=_tuple(body.quarantined, MAX_QUARANTINED, _read_quarantined, "quarantined"),
-        leaving_servers=_tuple(body.leavingServers, MAX_LEAVING_SERVERS, _name, "leavingServers"),
-        strikes=_tuple(body.strikes, MAX_STRIKES, _read_strike, "strikes"),
+        plan_digest=digest_of(body.planDigest),
+        store_age_s=duration_of(body.storeAgeS, "storeAgeS"),
+        loads=tuple_of(body.loads, MAX_LOADS, _read_load, "loads"),
+        quarantined=tuple_of(body.quarantined, MAX_QUARANTINED, _read_quarantined, "quarantined"),
+        leaving_servers=tuple_of(
+            body.leavingServers, MAX_LEAVING_SERVERS, name_of, "leavingServers"
+        ),
+        strikes=tuple_of(body.strikes, MAX_STRIKES, _read_strike, "strikes"),
     )
-    known = _tuple(body.knownEntries, MAX_KNOWN_ENTRIES, _read_known, "knownEntries")
+    known = tuple_of(body.knownEntries, MAX_KNOWN_ENTRIES, _read_known, "knownEntries")
     return Report(report, known)
 
 
 def _read_load(item):
-    return ServiceLoad(_name(item.service, "service"), item.inProgress, item.queued, item.room)
+    return ServiceLoad(name_of(item.service, "service"), item.inProgress, item.queued, item.room)
 
 
 def _read_quarantined(item):
-    fingerprint = _matching(_KEY, item.fingerprint, "fingerprint")
-    return QuarantinedRequest(fingerprint, _duration(item.expiresInS, "expiresInS"))
+    fingerprint = matching(KEY, item.fingerprint, "fingerprint")
+    return QuarantinedRequest(fingerprint, duration_of(item.expiresInS, "expiresInS"))
 
 
 def _read_strike(item):
     return SharedStrike(
-        fingerprint=_matching(_KEY, item.fingerprint, "fingerprint"),
-        server=_name(item.server, "server"),
-        age_s=_duration(item.ageS, "ageS"),
+        fingerprint=matching(KEY, item.fingerprint, "fingerprint"),
+        server=name_of(item.server, "server"),
+        age_s=duration_of(item.ageS, "ageS"),
         confirmed=item.confirmed,
         fresh=item.fresh,
         doublings=item.doublings,
@@ -215,11 +157,11 @@
 
 def _read_known(item):
     return KnownEntry(
-        name=_name(item.name),
-        place=_name(item.place, "place"),
+        name=name_of(item.name),
+        place=name_of(item.place, "place"),
         incarnation=item.incarnation,
         heard_age_ms=item.heardAgeMs,
-        peer_address=_address_text(item.peerAddress),
+        peer_address=address_text(item.peerAddress),
     )
 
 
@@ -254,8 +196,8 @@
 
 
 def _read_key_query(body):
-    key = _matching(_KEY, body.key, "key")
-    return KeyQuery(_name(body.service, "service"), key, _name(body.nonce, "nonce"))
+    key = matching(KEY, body.key, "key")
+    return KeyQuery(name_of(body.service, "service"), key, name_of(body.nonce, "nonce"))
 
 
 def _write_key_reply(body, message):
@@ -263,7 +205,7 @@
 
 
 def _read_key_reply(body):
-    return KeyReply(_limited(body.state, MAX_STATE_CHARS, "state"))
+    return KeyReply(limited(body.state, MAX_STATE_CHARS, "state"))
 
 
 def _write_error(body, message):
@@ -273,67 +215,7 @@
 
 
 def _read_error(body):
-    return ErrorReply(Code(body.code), _limited(body.text, MAX_ERROR_CHARS, "text"))
-
-
-# What entries know of the store's rows.
-
-
-def _write_knowledge_request(body, message):
-    body.configurationVersion = message.configuration_version
-    body.generation = message.generation
-    body.incarnation = message.incarnation
-
-
-def _read_knowledge_request(body):
-    return KnowledgeRequest(body.configurationVersion, body.generation, body.incarnation)
-
-
-def _write_knowledge_reply(body, message):
-    news = message.news
-    body.configuration = message.configuration
-    body.generation = news.generation
-    body.incarnation = message.incarnation
-    body.whole = news.is_whole
-    body.removed = list(news.removed_ids)
-    body.evacuated = sorted(news.evacuated_places)
-    body.ageS = message.age_s
-    for item, record in zip(body.init("servers", len(news.records)), news.records, strict=True):
-        item.id = record.id
-        item.service = record.service
-        item.address = _address_bytes(record.address)
-        item.place = record.place
-        item.slots = record.slots
-        item.leaving = record.is_leaving
-        item.sequence = record.sequence
-        item.coldRemainingS = record.cold_remaining_s
-        item.bornMs = record.born_ms
-
-
-def _read_knowledge_reply(body):
-    news = FleetNews(
-        generation=body.generation,
-        is_whole=body.whole,
-        records=_tuple(body.servers, MAX_SERVERS, _read_server, "servers"),
-        removed_ids=_tuple(body.removed, MAX_SERVERS, _name, "removed"),
-        evacuated_places=frozenset(_tuple(body.evacuated, MAX_PLACES, _name, "evacuated")),
-    )
-    age_s = _duration(body.ageS, "ageS")
-    return KnowledgeReply(bytes(body.configuration), news, body.incarnation, age_s)
-
-
-def _read_server(item):
-    return ServerRecord(
-        id=_name(item.id, "server"),
-        service=_name(item.service, "service"),
-        address=_address_text(item.address),
-        place=_name(item.place, "place"),
-        slots=item.slots,
-        is_leaving=item.leaving,
-        sequence=item.sequence,
-        cold_remaining_s=_duration(item.coldRemainingS, "coldRemainingS"),
-        born_ms=item.bornMs,
-    )
+    return ErrorReply(Code(body.code), limited(body.text, MAX_ERROR_CHARS, "text"))
 
 
 _WRITER_BY_TYPE = {
@@ -343,8 +225,8 @@
     KeyQuery: ("keyQuery", _write_key_query),
     KeyReply: ("keyReply", _write_key_reply),
     ErrorReply: ("error", _write_error),
-    KnowledgeRequest: ("knowledgeRequest", _write_knowledge_request),
-    KnowledgeReply: ("knowledgeReply", _write_knowledge_reply),
+    KnowledgeRequest: ("knowledgeRequest", write_knowledge_request),
+    KnowledgeReply: ("knowledgeReply", write_knowledge_reply),
 }
 _READER_BY_KIND = {
     "report": _read_report,
@@ -353,8 +235,8 @@
     "keyQuery": _read_key_query,
     "keyReply": _read_key_reply,
     "error": _read_error,
-    "knowledgeRequest": _read_knowledge_request,
-    "knowledgeReply": _read_knowledge_reply,
+    "knowledgeRequest": read_knowledge_request,
+    "knowledgeReply": read_knowledge_reply,
 }
 
 
--- a/test/test_traffic_rules.py
+++ b/test/test_traffic_rules.py
@@ -177,7 +177,8 @@
 
     def order(self, region, place, key, servers, **options):
         placement = Placement(region, place, self.REGION_BY_PLACE)
-        return [one.record.id for one in placement.order("stock", key, servers, **options)]
+        order = placement.order("stock", key, servers, servers, **options)
+        return [one.record.id for one in order]
 
     def test_region_with_room_serves_its_own_objects(self):
         for key in map(str, range(100)):
@@ -208,6 +209,16 @@
             first = self.order("bne", "bne-2", key, servers, is_bulk=True)[0]
             self.assertEqual(int(first[1:]) % 2 + 1, 2)
 
+    def test_servers_that_rest_move_no_object_to_another_region(self):
+        """Two servers that were full or tried for a moment must not change a region's part."""
+        servers = self.servers()
+        placement = Placement("bne", "bne-1", self.REGION_BY_PLACE)
+        for key in map(str, range(100)):
+            region = placement.order("stock", key, servers, servers)[0].record.place[:3]
+            ready = [one for one in servers if one.record.id not in ("mky-1-s0", "bne-1-s0")]
+            other = placement.order("stock", key, servers, ready)[0].record.place[:3]
+            self.assertEqual(region, other)
+
     def test_other_regions_help_out(self):
         placement = Placement("bne", "bne-1", self.REGION_BY_PLACE)
         helpers = placement.elsewhere("stock", "7", self.servers())
--- /dev/null
+++ b/test/test_wire_knowledge.py
@@ -0,0 +1,50 @@
+"""What entries tell each other of the store's rows, encoded and decoded."""
+
+import unittest
+
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from figfold.core.traffic.fleet import FleetNews
+from figfold.wire.codec import decode, encode
+from figfold.wire.messages import KnowledgeReply, KnowledgeRequest
+from test.test_traffic_fleet import make_record
+
+NEWS = FleetNews(
+    generation=7,
+    is_whole=False,
+    records=(make_record("i-1", cold_remaining_s=1.5, sequence=9), make_record("i-2")),
+    removed_ids=("i-3",),
+    evacuated_places=frozenset({"bne-north"}),
+)
+REPLY = KnowledgeReply(b'{"version":"r9"}', NEWS, 1776317741377, 0.25)
+
+
+class KnowledgeTest(unittest.TestCase):
+    def test_messages_come_back_as_they_were(self):
+        for message in (KnowledgeRequest(9, 7, 1776317741377), REPLY):
+            self.assertEqual(decode(encode(message)).unwrap(), message)
+
+    def test_fields_out_of_range_are_errors(self):
+        for reply in (
+            evolve(REPLY, age_s=-1.0),
+            evolve(REPLY, news=evolve(NEWS, removed_ids=("bad id",))),
+            evolve(REPLY, news=evolve(NEWS, evacuated_places=frozenset({""}))),
+        ):
+            self.assertTrue(decode(encode(reply)).is_err(), reply)
+
+    @given(st.integers(0, 400), st.integers(0, 255))
+    def test_changed_bytes_are_a_message_or_an_error(self, position, value):
+        data = bytearray(encode(REPLY))
+        data[position % len(data)] = value
+        decode(bytes(data))
+
+    def test_largest_site_fits_a_message(self):
+        records = tuple(make_record(f"i-{i:010x}", sequence=i) for i in range(1500))
+        reply = evolve(REPLY, news=evolve(NEWS, records=records))
+        self.assertEqual(decode(encode(reply)).unwrap(), reply)
+
+
+if __name__ == "__main__":
+    unittest.main()
