--- a/figfold/entry/caller_app.py
+++ b/figfold/entry/caller_app.py
@@ -18,6 +18,7 @@
 from figfold.core.codes import Code, Outcome
 from figfold.entry.app_errors import UNEXPECTED, AppErrors
 from figfold.entry.clock import MS_PER_S, now_s
+from figfold.entry.large_body import JoinedBody
 from figfold.entry.messages import CallerRequest, Refusal, http_status, refuse
 from figfold.entry.metrics import Metrics
 
@@ -216,7 +217,7 @@
         if self.is_leaving():
             headers.append(("Connection", "close"))
         start_response(f"{answer.status} {_reason(answer.status)}", headers)
-        return [answer.body] if answer.rest is None else _Joined(answer.body, answer.rest)
+        return [answer.body] if answer.rest is None else JoinedBody(answer.body, answer.rest)
 
     def _answer_refusal(self, refusal, start_response):
         failure = refusal.failure
@@ -279,21 +280,6 @@
             self._on_close()
 
 
-class _Joined:
-    """The kept part of a large answer and then its rest, closed together."""
-
-    def __init__(self, body, rest):
-        self._body = body
-        self._rest = rest
-
-    def __iter__(self):
-        yield self._body
-        yield from self._rest
-
-    def close(self):
-        self._rest.close()
-
-
 # Reading of requests.
 
 
--- a/figfold/entry/large_body.py
+++ b/figfold/entry/large_body.py
@@ -1,4 +1,4 @@
-"""The part of a large answer that is passed on while it arrives."""
+"""Large answers, whose rest is passed on while it arrives."""
 
 from collections.abc import Callable, Iterator
 
@@ -38,3 +38,19 @@
         if not self.ended:
             self.ended = True
             self.on_end(whole)
+
+
+@define(eq=False)
+class JoinedBody:
+    """The first part of a large answer and then its rest, closed together."""
+
+    first: bytes
+    rest: Iterator[bytes]
+
+    def __iter__(self):
+        yield self.first
+        yield from self.rest
+
+    def close(self):
+        """Close the rest."""
+        self.rest.close()
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -14,6 +14,7 @@
 from figfold.entry.clock import now_s
 from figfold.entry.connections import HOP_BY_HOP
 from figfold.entry.http_protocol import make_protocol
+from figfold.entry.large_body import JoinedBody
 from figfold.gateway.runner import FinalRefusal, GatewayRequest
 from figfold.platform.exchange import (
     is_set_by_entry,
@@ -109,7 +110,7 @@
         headers = [*answer.headers, ("Content-Length", str(answer.length))]
         self._note_leaving(headers)
         start_response(f"{answer.status} Status", headers)
-        return [answer.body] if answer.rest is None else _Joined(answer.body, answer.rest)
+        return [answer.body] if answer.rest is None else JoinedBody(answer.body, answer.rest)
 
     def _refuse(self, request, refusal, started, start_response):
         self.metrics.count_code(refusal.code, reason=refusal.reason)
@@ -201,21 +202,6 @@
             self._on_close()
 
 
-class _Joined:
-    """The first part of a large answer and then its rest, closed together."""
-
-    def __init__(self, body, rest):
-        self._body = body
-        self._rest = rest
-
-    def __iter__(self):
-        yield self._body
-        yield from self._rest
-
-    def close(self):
-        self._rest.close()
-
-
 def _status(refusal):
     status = HTTP_STATUS_BY_CODE.get(refusal.code)
     if status is not None:
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -189,9 +189,8 @@
                 settings.region_by_place,
                 self.beliefs.distance_s,
             ),
-            sender=Sender.from_config(self.connections, self.beliefs.fleet),
+            sender=Sender(self.connections, self.beliefs.fleet),
             splitter=Splitter(),
-            cold=self.beliefs.cold,
             quarantine=self.quarantine,
             metrics=self.metrics,
             log=self.log,
@@ -319,6 +318,7 @@
 
     def _on_server_gone(self, server_id):
         self.runner.selector.forget(server_id)
+        self.runner.sender.forget(server_id)
 
     def _on_quarantine(self, fingerprint, expires_in_s):
         self.quarantine.merge(fingerprint, expires_in_s, now_s())
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -99,7 +99,6 @@
     selector: object
     sender: object
     splitter: object
-    cold: object
     quarantine: object
     metrics: object
     log: object
--- a/figfold/gateway/sender.py
+++ b/figfold/gateway/sender.py
@@ -1,6 +1,6 @@
 """One attempt at a backend server: every request to one passes here."""
 
-from attrs import define, frozen
+from attrs import Factory, define, frozen
 
 from figfold.core.codes import Code
 from figfold.core.traffic.attempts import End
@@ -44,12 +44,11 @@
 
     connections: object
     fleet: object
-    _doubt_until_s: dict = None
+    _doubt_until_s: dict = Factory(dict)
 
-    @classmethod
-    def from_config(cls, connections, fleet):
-        """Return a sender over these connections."""
-        return cls(connections, fleet, {})
+    def forget(self, server_id):
+        """Forget a server that is gone."""
+        self._doubt_until_s.pop(server_id, None)
 
     def send(self, request, choice, time_left_s, fresh=False):
         """Send a request to the chosen server and return an `AttemptResult`."""
--- a/figfold/platform/exchange.py
+++ b/figfold/platform/exchange.py
@@ -58,7 +58,6 @@
     is_not_run: bool
     is_other_server: bool
     is_sound: bool
-    is_leaving: bool
     load: LoadReport | None = None
 
 
@@ -95,7 +94,6 @@
         is_not_run=not_run or other_server,
         is_other_server=other_server,
         is_sound=not encoded and (not success or bool(get(SEAL))),
-        is_leaving=False,
         load=_load(get(LOAD)),
     )
 
