--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -15,7 +15,7 @@
 from figfold.entry.connections import HOP_BY_HOP
 from figfold.entry.http_protocol import make_protocol
 from figfold.entry.large_body import JoinedBody
-from figfold.gateway.runner import FinalRefusal, GatewayRequest
+from figfold.gateway.messages import FinalRefusal, GatewayRequest
 from figfold.platform.exchange import (
     is_set_by_entry,
     lookup_body,
