Let no older knowledge of another entry bring back a server that is gone

Knowledge is now taken only if it was read later than one's own, a removal is remembered with its time, and every 4 s an entry asks for all servers, so that nothing wrong stays. Ruled out: the store's history, sequences (followers do not see each heartbeat).

--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -10,6 +10,9 @@
 LAPSE_GRACE_S = 2.2
 # Removals that are remembered for entries that ask what has changed.
 REMOVALS_KEPT = 500
+# Knowledge of another entry counts as later than a removal only by more than the time that a
+# message takes on its way, which its age does not tell.
+NEWS_DELAY_S = 0.3
 # A cold time that the store tells was written up to a heartbeat and one reading ago.
 COLD_NEWS_S = 3.0
 
@@ -97,6 +100,7 @@
     is_known: bool = False
     generation: int = 0
     _removals: deque = Factory(lambda: deque(maxlen=REMOVALS_KEPT))
+    _removed_s_by_id: dict[str, float] = Factory(dict)
 
     def take_record(self, record, now_s):
         """Take a server's record; return whether anything but its heartbeat changed."""
@@ -149,9 +153,24 @@
             if server.missing_since_s is None:
                 server.missing_since_s = now_s
             return False
-        self._remove(server_id)
+        self._remove(server_id, now_s)
         return True
 
+    def is_revival(self, record, read_s):
+        """Return whether a record brings back a server by knowledge older than its removal.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            As another entry told it.
+        read_s : float
+            When that entry's knowledge was read from the store.
+        """
+        removed_s = self._removed_s_by_id.get(record.id)
+        if record.id in self.server_by_id or removed_s is None:
+            return False
+        return read_s <= removed_s + NEWS_DELAY_S
+
     def drop_missing(self, now_s):
         """Forget the servers that are still missing some time after an outage; return their ids."""
         gone = [
@@ -161,7 +180,7 @@
             and now_s - server.missing_since_s >= LAPSE_GRACE_S
         ]
         for one in gone:
-            self._remove(one)
+            self._remove(one, now_s)
         return gone
 
     def set_evacuated(self, places, now_s):
@@ -239,8 +258,12 @@
             self.evacuated_places,
         )
 
-    def _remove(self, server_id):
+    def _remove(self, server_id, now_s):
         del self.server_by_id[server_id]
+        self._removed_s_by_id.pop(server_id, None)
+        self._removed_s_by_id[server_id] = now_s
+        if len(self._removed_s_by_id) > REMOVALS_KEPT:
+            del self._removed_s_by_id[next(iter(self._removed_s_by_id))]
         self.generation += 1
         self._removals.append((self.generation, server_id))
 
--- a/figfold/gateway/knowledge.py
+++ b/figfold/gateway/knowledge.py
@@ -4,6 +4,7 @@
 from attrs import define, field
 from eventlet import Timeout
 
+from figfold.core.traffic.fleet import NEWS_DELAY_S
 from figfold.core.traffic.sources import STALE_S, KnowledgeSource
 from figfold.entry.clock import now_s
 from figfold.platform.beliefs import read_configuration_text
@@ -15,6 +16,7 @@
 ASK_TIMEOUT_S = 0.9
 ROLE_POLL_S = 0.2  # Between two looks at whether this entry reads for its region.
 ERROR_PAUSE_S = 0.4
+WHOLE_INTERVAL_S = 4.0  # Between two answers with all servers, about 3 KB at 40 servers.
 # What the operator's rows may be older than the wait for their next change.
 OPERATOR_SLACK_S = 1.5
 UNKNOWN_AGE_S = 1e6
@@ -40,6 +42,7 @@
     sources: KnowledgeSource
     _known_generation: dict = field(factory=dict)
     _last_source: str = ""
+    _whole_s: float = float("-inf")
 
     @classmethod
     def from_config(cls, settings, beliefs, watch, client, metrics, log, incarnation):
@@ -142,6 +145,10 @@
         entry = self.beliefs.membership.entry_by_name.get(name)
         if entry is None:
             return False
+        if now_s() - self._whole_s >= WHOLE_INTERVAL_S:
+            # Whatever was missed or taken wrongly is mended after this time.
+            self._known_generation.pop(name, None)
+            self._whole_s = now_s()
         incarnation, generation = self._known_generation.get(name, (0, 0))
         request = KnowledgeRequest(self._version(), generation, incarnation)
         reply = self.client.call(entry.reach_peer_address, request, ASK_TIMEOUT_S)
@@ -154,8 +161,11 @@
         if reply.age_s > STALE_S:
             self._fail(name, "stale", round(reply.age_s, 2))
             return False
-        if reply.age_s > self.beliefs.servers_age_s(now_s()) + STALE_S:
-            return True
+        read_s = now_s() - reply.age_s
+        if read_s < self.beliefs.servers_read_s - NEWS_DELAY_S:
+            # What is known here was read later: it must not go back.
+            self._fail(name, "older", round(reply.age_s, 2))
+            return False
         self._known_generation[name] = (reply.incarnation, reply.news.generation)
         if reply.configuration:
             read = read_configuration_text(reply.configuration)
@@ -165,8 +175,12 @@
                 self.metrics.count_code(read.err().code)
         self.watch.take_evacuated(reply.news.evacuated_places, name)
         news = reply.news
-        self.watch.take_servers(news.records, news.removed_ids, news.is_whole, False, name)
-        read_s = now_s() - reply.age_s
+        fleet = self.beliefs.fleet
+        records = [one for one in news.records if not fleet.is_revival(one, read_s)]
+        if len(records) < len(news.records):
+            # They may be back all the same; then the next whole answer tells so.
+            self._known_generation.pop(name, None)
+        self.watch.take_servers(records, news.removed_ids, news.is_whole, False, name)
         self.beliefs.servers_read_s = max(self.beliefs.servers_read_s, read_s)
         self.beliefs.operator_read_s = max(self.beliefs.operator_read_s, read_s)
         return True
--- a/test/test_traffic_fleet.py
+++ b/test/test_traffic_fleet.py
@@ -72,6 +72,19 @@
         self.assertEqual(fleet.take_listing([], 20.0, after_outage=True), ["s0"])
 
 
+class RevivalTest(unittest.TestCase):
+    def test_older_knowledge_of_another_entry_does_not_bring_a_server_back(self):
+        """An entry that is cut off from the store still has the server, as of some time ago."""
+        fleet = make_fleet()
+        fleet.take_removal("s0", 5.0, False)
+        stale = make_record("s0", sequence=99)
+        self.assertTrue(fleet.is_revival(stale, read_s=4.0))
+        self.assertTrue(fleet.is_revival(stale, read_s=5.1))
+        self.assertFalse(fleet.is_revival(stale, read_s=6.0))
+        self.assertFalse(fleet.is_revival(make_record("s1"), read_s=4.0))
+        self.assertFalse(fleet.is_revival(make_record("new"), read_s=4.0))
+
+
 class EvacuationTest(unittest.TestCase):
     def test_evacuated_place_gets_nothing_and_returns_cold(self):
         fleet = make_fleet()
