Take the ratio of second sends from the platform's bounds

Cause: the template of the settings passed on the slack and the window of the shared budget, but not its ratio, so that a deployment with another ratio than 0.2 would have spent too much. The option is a part now, as the platform writes it (retry_percent is gone). Its test failed before (0.2 instead of 0.15).

--- a/figfold/config/gateway.py
+++ b/figfold/config/gateway.py
@@ -64,7 +64,7 @@
             configuration_wait_s=section.seconds("configuration_wait_s"),
             stop_grace_s=section.seconds("stop_grace_s"),
             lookup_ttl_s=section.milliseconds("lookup_ttl_ms"),
-            retry_ratio=section.percent("retry_percent") / 100.0,
+            retry_ratio=section.number("retry_ratio", 0.0, 1.0),
             retry_window_s=section.seconds("retry_window_s"),
             retry_slack=section.number("retry_slack"),
             region_by_place=region_by_place,
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -3,11 +3,15 @@
 import base64
 import copy
 import json
+import re
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from figfold.config.gateway import load_gateway_settings
 from figfold.core.traffic.configuration import Repeat
 from figfold.platform.beliefs import read_operator_rows, read_server_rows
 from figfold.platform.decoding import read_configuration, read_row, read_server
@@ -17,6 +21,7 @@
     refusal_headers,
     server_headers,
 )
+from test.support import ROOT
 
 SERVER = {
     "address": "10.128.0.9:8080",
@@ -69,6 +74,31 @@
     return read_row({"table": table, "key": key, "value": encoded, "ver": version})
 
 
+class EntrySettingsTest(unittest.TestCase):
+    BOUNDS = ("retryBudgetRatio", "retrySlack", "budgetWindowS", "graceS")
+
+    def test_template_passes_every_bound_on_that_differs_between_deployments(self):
+        template = (ROOT / "deploy" / "entry.ini").read_text(encoding="utf-8")
+        for bound in self.BOUNDS:
+            self.assertIn("{{bounds." + bound + "}}", template)
+
+    def test_ratio_of_second_sends_is_taken_as_the_platform_writes_it(self):
+        template = (ROOT / "deploy" / "entry.ini").read_text(encoding="utf-8")
+        text = template.replace("{{bounds.retryBudgetRatio}}", "0.15")
+        text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "[place a]\nregion = r", text, flags=re.S)
+        text = text.replace("{{zone}}", "a").replace("{{nodeName}}", "n")
+        text = re.sub(r"= \{\{(listen|platform)[^}]*\}\}", "= 127.0.0.1:80", text)
+        text = text.replace("{{ipAddress}}:{{internalPorts.0}}", "127.0.0.1:81")
+        text = text.replace("{{ipAddress}}", "127.0.0.1")
+        text = re.sub(r"\{\{[^}]*\}\}", "7", text)
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "entry.ini"
+            path.write_text(text, encoding="utf-8")
+            settings = load_gateway_settings(path)
+        self.assertTrue(settings.is_ok(), settings)
+        self.assertEqual(settings.unwrap().retry_ratio, 0.15)
+
+
 class ServerRowTest(unittest.TestCase):
     def test_fields(self):
         record = read_server("i-1", SERVER).unwrap()
