Serve requests that come before the configuration, with long headers, or of routes that are not sticky

Three faults found by reading, each with a test that failed before: - an entry that has just started refused requests for the 0.3 s until it has read the store; it waits up to 0.6 s for the configuration now. What was learned of routes that were removed is forgotten as well.

--- a/figfold/core/traffic/configuration.py
+++ b/figfold/core/traffic/configuration.py
@@ -38,6 +38,8 @@
         Rank, 0 the highest.
     max_attempts : int
         The most backend servers that one request may reach.
+    is_sticky : bool
+        Whether a server is faster at an object that it has handled lately.
     home_regions : frozenset[str]
         The only regions in which the requests may run; empty for all.
     """
@@ -52,6 +54,7 @@
     target_latency_s: float = 1.0
     priority: int = 0
     max_attempts: int = 1
+    is_sticky: bool = True
     home_regions: frozenset[str] = frozenset()
 
     @property
--- a/figfold/core/traffic/splitting.py
+++ b/figfold/core/traffic/splitting.py
@@ -43,6 +43,11 @@
         counts[chosen] += 1.0
         return chosen
 
+    def keep_routes(self, names):
+        """Forget the counts of routes that are not among the names."""
+        for name in set(self._count_by_service_by_route) - set(names):
+            del self._count_by_service_by_route[name]
+
     def _counts(self, name, identity):
         known = self._count_by_service_by_route.get(name)
         if known is None or known[0] != identity:
--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -3,11 +3,14 @@
 import json
 from socket import SHUT_WR
 
-from eventlet import Timeout
+from eventlet import Timeout, wsgi
 from eventlet.wsgi import HttpProtocol
 
 from figfold.core.codes import Code, Outcome
 
+# One header line may take up all that a configuration allows for a head. The library refuses lines
+# over 8 KiB unless told otherwise; 64 KiB are its own bound for all lines together.
+HEADER_LINE_BYTES = 64 << 10
 # The WSGI server writes its own refusals in one piece; answers of an application go out otherwise.
 LIBRARY_REFUSAL = b"HTTP/1.0 4"
 # How much of a refused request is still read, and for how long, before its connection is closed.
@@ -16,6 +19,10 @@
 DRAIN_PIECE_BYTES = 1 << 16
 
 
+# The library has no parameter for it.
+wsgi.MAX_HEADER_LINE = HEADER_LINE_BYTES
+
+
 def make_protocol(metrics):
     """Return the protocol class of a port whose refusals are counted in the metrics."""
 
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -17,7 +17,7 @@
 from figfold.core.traffic.splitting import Splitter
 from figfold.entry.clock import MS_PER_S, now_s, wall_s
 from figfold.entry.connections import Connections
-from figfold.entry.http_protocol import make_protocol
+from figfold.entry.http_protocol import HEADER_LINE_BYTES, make_protocol
 from figfold.entry.loops import run_every
 from figfold.entry.metrics import Metrics
 from figfold.entry.peer_keeper import PeerKeeper
@@ -282,6 +282,7 @@
             protocol=protocol,
             max_size=CONNECTION_LIMIT,
             socket_timeout=CALLER_IDLE_S,
+            url_length_limit=HEADER_LINE_BYTES,
             keepalive=True,
             debug=False,
             capitalize_response_headers=False,
@@ -312,6 +313,7 @@
 
     def _on_configuration(self, version):
         self.confirmation.plan_taken(version)
+        self.runner.keep_routes(self.beliefs.configuration.route_by_name)
         membership = self.beliefs.membership
         membership.own = evolve(membership.own, plan_version=version)
         self.peers.announce_plan(version)
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -60,6 +60,11 @@
     error_answer: object = None
     hedged: bool = False
 
+    @property
+    def key(self):
+        """The object by which a server is chosen, or an empty string."""
+        return self.request.key if self.route.is_sticky else ""
+
     @property
     def ends_s(self):
         """When the final answer is due, in monotonic seconds."""
@@ -113,7 +118,7 @@
         attempt_id = runner.next_id()
         if choice.is_cold_server:
             runner.beliefs.take_cold(choice.server_id, now)
-        runner.selector.load_by_server[choice.server_id].start(attempt_id, self.request.key, now)
+        runner.selector.load_by_server[choice.server_id].start(attempt_id, self.key, now)
         self.tried.add(choice.server_id)
         self.progress = evolve(self.progress, sent=self.progress.sent + 1)
         self._log(
@@ -152,7 +157,7 @@
         runner = self.runner
         wanted = Wanted(
             self.service,
-            self.request.key,
+            self.key,
             frozenset(self.tried),
             self.route.home_regions,
             self.route.is_bulk,
--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from attrs import Factory, define
+from eventlet import Timeout
 from result import Err
 
 from figfold.core.codes import Code
@@ -14,6 +15,9 @@
 
 # A request that crashes servers is held back for long; its caller need not hurry.
 QUARANTINE_RETRY_AFTER_S = 2.0
+# An entry has read the store some 0.3 s after it listens; a caller that is refused meanwhile would
+# come back about as late.
+START_WAIT_S = 0.6
 
 
 @define(eq=False)
@@ -51,8 +55,8 @@
             ``(on_gone) -> callable``: calls ``on_gone`` once the caller has closed its connection,
             until the returned function is called.
         """
-        configuration = self.beliefs.configuration
-        if configuration is None or not self.beliefs.fleet.is_known:
+        configuration = self._wait_for_configuration()
+        if configuration is None:
             return Err(FinalRefusal(Code.NO_CONFIGURATION, True, "unknown", RETRY_AFTER_S))
         route = configuration.match(request.host, request.path)
         if route is None:
@@ -61,7 +65,7 @@
             return Err(
                 FinalRefusal(Code.QUARANTINED, True, "quarantined", QUARANTINE_RETRY_AFTER_S)
             )
-        service = self.splitter.choose(route, request.key)
+        service = self.splitter.choose(route, request.key if route.is_sticky else "")
         self.allowance(service).count_request(now_s())
         self.overflow.count_request(now_s())
         run = RequestRun(self, request, route, service, configuration)
@@ -74,6 +78,21 @@
             stop_watching()
             run.cancel_all()
 
+    def _wait_for_configuration(self):
+        """Return the configuration, which a process that has just started may yet have to read."""
+        beliefs = self.beliefs
+        with Timeout(START_WAIT_S, False):
+            while beliefs.configuration is None or not beliefs.fleet.is_known:
+                beliefs.changed.wait()
+        return beliefs.configuration if beliefs.fleet.is_known else None
+
+    def keep_routes(self, route_by_name):
+        """Forget what was learned of routes that no longer exist."""
+        self.splitter.keep_routes(route_by_name)
+        for name, service in list(self._durations_by_route):
+            if name not in route_by_name:
+                del self._durations_by_route[name, service]
+
     def allowance(self, service):
         """Return this entry's part of the service's second sends."""
         if service not in self._allowance_by_service:
--- a/figfold/platform/decoding.py
+++ b/figfold/platform/decoding.py
@@ -152,6 +152,7 @@
         target_latency_s=_number(item, "targetLatencyS", 0.0) if "targetLatencyS" in item else 1.0,
         priority=_whole(item, "priority", 0) if "priority" in item else 0,
         max_attempts=_whole(item, "maxAttempts", 1) if "maxAttempts" in item else 1,
+        is_sticky=item.get("sticky") is True,
         home_regions=frozenset(homes),
     )
 
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -31,7 +31,11 @@
 
 def make_configuration(version=1, timeout_s=1.0, service="cutdesk"):
     common = {"host": "h.example", "targetLatencyS": 0.3, "priority": 1, "maxAttempts": 2}
+    common |= {"sticky": True}
     routes = {
+        "any": common
+        | {"prefix": "/any/", "kind": "safe", "timeoutS": timeout_s, "service": "stockview"}
+        | {"sticky": False},
         "read": common
         | {"prefix": "/read/", "kind": "safe", "timeoutS": timeout_s, "service": "stockview"},
         "book": common
@@ -70,9 +74,13 @@
                 self.rows.put("servers", server_id, endpoint.row())
 
     def start_entry(self, name="entry-1", place="bne-north"):
+        entry = self.start_entry_process(name, place)
+        entry.wait_ready()
+        return entry
+
+    def start_entry_process(self, name="entry-1", place="bne-north"):
         entry = Entry(name, place, self.store_address, Path(self.folder.name))
         self.entries.append(entry)
-        entry.wait_ready()
         return entry
 
     def stop(self):
@@ -121,6 +129,14 @@
             eventlet.sleep(0.05)
         raise RuntimeError("the entry was not ready")
 
+    def wait_event(self, event):
+        limit = time.monotonic() + READY_S
+        while time.monotonic() < limit:
+            if event in self.log_path.read_text(encoding="utf-8"):
+                return
+            eventlet.sleep(0.02)
+        raise RuntimeError(f"the entry did not log {event}")
+
     def get(self, port, path, headers=None):
         return self.send(port, "GET", path, None, headers)
 
@@ -133,8 +149,10 @@
         finally:
             connection.close()
 
-    def request(self, request_id, method="GET", path="/read/1", key="k", deadline_ms=2000):
-        headers = {
+    def request(
+        self, request_id, method="GET", path="/read/1", key="k", deadline_ms=2000, **others
+    ):
+        headers = others | {
             "Host": "h.example",
             "Attempt-Id": request_id,
             "Affinity-Key": key,
@@ -184,6 +202,20 @@
             _, _, body = self.entry.request("a2", path=path)
             self.assertIn(f"GET {path} HTTP/1.1".encode(), body)
 
+    def test_header_as_long_as_the_configuration_allows_is_passed_on(self):
+        long = "x" * 15000
+        self.assertEqual(self.entry.request("a4", **{"X-Long": long})[0], 200)
+        self.assertEqual(self.entry.request("a5", path=f"/read/{long}")[0], 200)
+
+    def test_objects_of_a_route_that_is_not_sticky_go_to_whom_is_free(self):
+        for endpoint in self.deployment.endpoint_by_id.values():
+            endpoint.cold_s = 0.3
+        calls = [eventlet.spawn(self.entry.request, f"n{i}", path="/any/1") for i in range(6)]
+        servers = {call.wait()[2].split()[0] for call in calls}
+        for endpoint in self.deployment.endpoint_by_id.values():
+            endpoint.cold_s = 0.06
+        self.assertGreater(len(servers), 1)
+
     def test_no_route_is_not_found(self):
         self.assertEqual(self.entry.request("a3", path="/other/")[0], 404)
 
@@ -300,6 +332,15 @@
             self.assertEqual(entry.request("e1")[0], 503)
         deployment.rows.remove("op", "evacuate/bne-north")
 
+    def test_request_that_comes_before_the_configuration_is_served_once_it_is_known(self):
+        self.deployment.rows.is_down = True
+        entry = self.deployment.start_entry_process()
+        entry.wait_event("store-lost")
+        call = eventlet.spawn(entry.request, "early")
+        eventlet.sleep(0.1)
+        self.deployment.rows.is_down = False
+        self.assertEqual(call.wait()[0], 200)
+
     def test_outage_of_the_store_changes_nothing_for_callers(self):
         entry = self.deployment.start_entry()
         self.deployment.rows.is_down = True
--- a/test/test_traffic_rules.py
+++ b/test/test_traffic_rules.py
@@ -247,6 +247,16 @@
         self.assertAlmostEqual(durations.warm_s(), 0.25, 2)
 
 
+class RemovedRouteTest(unittest.TestCase):
+    def test_counts_of_a_split_are_forgotten_with_their_route(self):
+        splitter = Splitter()
+        weights = (ServiceWeight("a", 1.0), ServiceWeight("b", 1.0))
+        for name in ("kept", "gone"):
+            splitter.choose(Route(name, "h", "/", Repeat.SAFE, weights), "")
+        splitter.keep_routes({"kept": None})
+        self.assertEqual(list(splitter._count_by_service_by_route), ["kept"])
+
+
 class SourceTest(unittest.TestCase):
     PLACES = {"e1": "a1", "e2": "a2", "e3": "a1", "f1": "b1"}
 
