--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 	$(PYTHON) -m test.runner
 
 demo: $(VENV)/installed
+	$(PYTHON) -W ignore -m bench.platform_demo --deployment $(DEPLOYMENT) --seed $(SEED)
 	$(PYTHON) -m bench.demo --deployment $(DEPLOYMENT) --seed $(SEED)
 
 measure: $(VENV)/installed
--- /dev/null
+++ b/bench/platform_demo.py
@@ -0,0 +1,277 @@
+"""Runs a deployment on the users' platform through a day, with callers that check every answer."""
+
+import argparse
+import json
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from http.client import HTTPException
+
+import eventlet
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+
+from bench.deployment import EXAMPLES  # noqa: E402
+from bench.platform_deployment import (  # noqa: E402
+    PlatformDeployment,
+    ServiceServers,
+    make_configuration,
+)
+from figfold.config.settings import load_settings  # noqa: E402
+
+LIMIT_S = 80
+CALLERS = 24
+THINK_S = 0.1  # Mean time between two requests of a caller.
+PHASE_S = 3.0
+# A change of the configuration or an evacuation is in force everywhere after this time.
+IN_FORCE_S = 2.5
+OBJECTS = 40
+TRIES = 3
+NOT_RUN = (408, 421, 429, 503)
+STOP_LIMIT_S = 4.0
+
+
+def make_routes(services, booking_service):
+    """Return a route of each kind: reads, bookings at some service, and downloads."""
+    reads, _, documents = services
+    return {
+        "read": {"prefix": "/read/", "kind": "safe", "timeoutS": 1.5, "service": reads},
+        "book": {
+            "prefix": "/book/",
+            "kind": "non_idempotent",
+            "timeoutS": 1.5,
+            "service": booking_service,
+        },
+        "file": {"prefix": "/file/", "kind": "download", "timeoutS": 1.5, "service": documents},
+    }
+
+
+class PlatformDemo:
+    """One run: the deployment, its callers and what is found.
+
+    Attributes
+    ----------
+    counts : Counter
+        Requests by how they ended.
+    wrong : list[str]
+        What must not happen.
+    """
+
+    def __init__(self, name, seed):
+        settings = load_settings(EXAMPLES / f"{name}.ini", needs=()).unwrap()
+        topology = settings.topology
+        self.services = list(topology.service_by_name)
+        self.places = [place for r in topology.region_by_name for place in topology.places_in(r)]
+        region_by_place = {
+            place: region
+            for region in topology.region_by_name
+            for place in topology.places_in(region)
+        }
+        servers = [ServiceServers(s, place, 2) for s in self.services for place in self.places]
+        configuration = make_configuration(1, make_routes(self.services, self.services[1]))
+        self.deployment = PlatformDeployment(region_by_place, servers, configuration)
+        self.random = random.Random(seed)
+        self.counts = Counter()
+        self.wrong = []
+        self._numbers = iter(range(1, 1 << 30))
+        self._bookings = {}
+        self._threads = []
+        self._is_running = True
+        self._started_s = time.monotonic()
+
+    def run(self):
+        """Run the day; return whether nothing wrong was found."""
+        self._start_entries()
+        for number in range(CALLERS):
+            place = self.places[number % len(self.places)]
+            self._threads.append(eventlet.spawn(self._call, place))
+        eventlet.sleep(PHASE_S)
+        self._change_configuration()
+        self._evacuate()
+        self._lose_answers()
+        self._lose_store()
+        self._kill_and_stop_entries()
+        self._is_running = False
+        for thread in self._threads:
+            thread.wait()
+        self._check_bookings()
+        return self._report()
+
+    def stop(self):
+        """End all processes."""
+        self.deployment.stop()
+
+    def _say(self, text):
+        print(f"{time.monotonic() - self._started_s:6.1f} s  {text}", flush=True)
+
+    def _find_wrong(self, is_wrong, text):
+        if is_wrong:
+            self.wrong.append(text)
+            self._say(f"WRONG: {text}")
+
+    # Steps of the day.
+
+    def _start_entries(self):
+        started = [
+            self.deployment.start_entry_process(f"{place}-e{number}", place)
+            for place in self.places
+            for number in (1, 2)
+        ]
+        for entry in started:
+            entry.wait_ready()
+        self._say(f"{len(started)} entries are ready")
+
+    def _change_configuration(self):
+        moved = make_configuration(5, make_routes(self.services, self.services[2]))
+        self.deployment.rows.put("op", "config", moved)
+        eventlet.sleep(IN_FORCE_S)
+        before = self._arrivals(lambda one: one.service == self.services[1])
+        eventlet.sleep(PHASE_S)
+        late = self._arrivals(lambda one: one.service == self.services[1]) - before
+        self._find_wrong(late, f"{late} bookings went by the old configuration")
+        self._say("bookings moved to another service")
+
+    def _evacuate(self):
+        place = self.places[0]
+        self.deployment.rows.put("op", f"evacuate/{place}", {})
+        eventlet.sleep(IN_FORCE_S)
+        before = self._arrivals(lambda one: one.place == place)
+        eventlet.sleep(PHASE_S)
+        late = self._arrivals(lambda one: one.place == place) - before
+        self._find_wrong(late, f"{late} requests went to servers of an evacuated data centre")
+        self.deployment.rows.remove("op", f"evacuate/{place}")
+        self._say(f"{place} was evacuated and taken back")
+
+    def _lose_answers(self):
+        self.deployment.set_fault("reset", self.services[2], count=4)
+        eventlet.sleep(PHASE_S)
+        self.deployment.set_fault("")
+        self._say("four servers lost all their answers for a while")
+
+    def _lose_store(self):
+        self.deployment.rows.is_down = True
+        eventlet.sleep(PHASE_S)
+        self.deployment.rows.is_down = False
+        self.deployment.rows.forget_history()
+        self._say("the store was away and forgot its history")
+
+    def _kill_and_stop_entries(self):
+        killed, stopped = self.deployment.entries[1], self.deployment.entries[3]
+        killed.kill()
+        self.deployment.start_entry(f"{killed.name}-again", killed.place)
+        self._say(f"{killed.name} was killed and replaced")
+        stopped.terminate()
+        limit = time.monotonic() + STOP_LIMIT_S
+        while stopped.child.poll() is None and time.monotonic() < limit:
+            eventlet.sleep(0.05)
+        status = stopped.child.poll()
+        self._find_wrong(status != 0, f"{stopped.name} ended with status {status}")
+        self._say(f"{stopped.name} was stopped under load")
+        eventlet.sleep(PHASE_S)
+
+    def _arrivals(self, is_meant):
+        endpoints = self.deployment.endpoint_by_id.values()
+        return sum(one.runs.total() for one in endpoints if is_meant(one))
+
+    # Callers.
+
+    def _call(self, place):
+        addresses, ends_s = [], 0.0
+        while self._is_running:
+            if time.monotonic() >= ends_s:
+                addresses, ends_s = self._look_up(place) or addresses, time.monotonic() + 2.0
+            kind = self.random.choices(("read", "book", "file"), (6, 3, 1))[0]
+            self._send(kind, addresses)
+            eventlet.sleep(self.random.expovariate(1 / THINK_S))
+
+    def _look_up(self, place):
+        region = self.deployment.region_by_place[place]
+        entries = [one for one in self.deployment.entries if one.child.poll() is None]
+        entry = self.random.choice(entries)
+        try:
+            path = f"/resolve?name=h&region={region}&zone={place}"
+            status, _, body = entry.get("lookup", path)
+        except (OSError, HTTPException):
+            self.counts["look-ups failed"] += 1
+            return None
+        return json.loads(body)["addresses"] if status == 200 else None
+
+    def _send(self, kind, addresses):
+        """Send one request, again as long as it is known not to have run or may be repeated."""
+        by_address = {one.address["caller"]: one for one in self.deployment.entries}
+        object_name = self.random.randrange(OBJECTS)
+        outcome = "unknown"
+        for _ in range(TRIES):
+            entry = by_address[self.random.choice(addresses)]
+            request_id = f"{kind}-{next(self._numbers)}"
+            outcome = self._attempt(entry, kind, request_id, object_name)
+            if kind == "book":
+                self._bookings[request_id] = outcome
+            if outcome == "whole" or (kind == "book" and outcome == "unknown"):
+                break
+            eventlet.sleep(THINK_S)
+        self.counts[outcome] += 1
+
+    def _attempt(self, entry, kind, request_id, object_name):
+        method = "POST" if kind == "book" else "GET"
+        path = f"/{kind}/{object_name}"
+        try:
+            status, headers, body = entry.request(request_id, method, path, str(object_name))
+        except ConnectionRefusedError:
+            return "not run"
+        except (OSError, HTTPException):
+            return "unknown"
+        if status in NOT_RUN:
+            return "not run"
+        if status != 200:
+            return "unknown"
+        server = headers.get("Response-Seal", "").removeprefix("seal-")
+        expected = f"{server} {method} {path} HTTP/1.1 {1 if kind == 'book' else 0}"
+        is_own = headers.get("Attempt-Id") == request_id and body.decode() == expected
+        self._find_wrong(not is_own, f"{request_id} got {body[:80]!r}")
+        return "whole"
+
+    # Findings.
+
+    def _check_bookings(self):
+        runs_by_outcome = {"whole": (1,), "not run": (0,), "unknown": (0, 1)}
+        for request_id, outcome in self._bookings.items():
+            runs = self.deployment.runs(request_id)
+            is_wrong = runs not in runs_by_outcome[outcome]
+            self._find_wrong(is_wrong, f"{request_id} ended as {outcome} and ran {runs} times")
+
+    def _report(self):
+        counts = self.counts
+        total = counts["whole"] + counts["not run"] + counts["unknown"]
+        print(
+            f"demo on the platform: {total} requests, {counts['whole']} whole answers, "
+            f"{counts['not run']} refused as not run, {counts['unknown']} of unknown end, "
+            f"{len(self.wrong)} wrong"
+        )
+        return not self.wrong and counts["whole"] > 0
+
+
+def main():
+    """Run the demo from the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--deployment", default="carrick", choices=("carrick", "bulwagan"))
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    # The children end with this process, whatever hangs.
+    signal.alarm(LIMIT_S)
+    demo = PlatformDemo(options.deployment, options.seed)
+    try:
+        is_right = demo.run()
+    except RuntimeError as error:
+        print(f"demo: {error}", file=sys.stderr)
+        is_right = False
+    finally:
+        demo.stop()
+    sys.exit(0 if is_right else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/platform_deployment.py
@@ -0,0 +1,233 @@
+"""A deployment on the users' platform on loopback: the store, backend servers and entries.
+
+The store and the servers are green threads of the process that starts it, the entries are
+processes of their own.
+"""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import eventlet
+from attrs import frozen
+from eventlet.green.http import client as green_client
+
+from standins.endpoint import Endpoint
+from standins.process import address_of, listen, spawn_wsgi
+from standins.rows import RowTables
+from test.support import ROOT
+
+READY_S = 20.0
+HEARTBEAT_S = 0.3
+CALL_TIMEOUT_S = 10.0
+HOST = "h.example"
+
+
+@frozen
+class ServiceServers:
+    """How many backend servers of a service stand in a data centre."""
+
+    service: str
+    place: str
+    count: int
+
+
+def make_configuration(version, routes):
+    """Return the value of the operator's row.
+
+    Parameters
+    ----------
+    version : int
+    routes : dict[str, dict]
+        What differs from the common fields, by name of the route.
+    """
+    common = {"host": HOST, "targetLatencyS": 0.3, "priority": 1, "maxAttempts": 2, "sticky": True}
+    services = {route["service"] for route in routes.values()}
+    return {
+        "version": f"r{version}",
+        "routes": {name: common | route for name, route in routes.items()},
+        "services": {name: {"coldPerS": 2.6} for name in sorted(services)},
+        "limits": {},
+    }
+
+
+class PlatformDeployment:
+    """Everything that runs.
+
+    Attributes
+    ----------
+    rows : RowTables
+        The store.
+    endpoint_by_id : dict[str, Endpoint]
+    entries : list[Entry]
+        All entries that were ever started.
+    """
+
+    def __init__(self, region_by_place, servers, configuration):
+        self.region_by_place = region_by_place
+        self.rows = RowTables()
+        listener = listen()
+        spawn_wsgi(listener, self.rows.app)
+        self.store_address = address_of(listener)
+        self.endpoint_by_id = {}
+        self.entries = []
+        self.folder = tempfile.TemporaryDirectory()
+        for one in servers:
+            for number in range(one.count):
+                self.add_endpoint(f"{one.service}-{one.place}-{number}", one.service, one.place)
+        self.rows.put("op", "config", configuration)
+        self._beats = eventlet.spawn(self._beat)
+
+    def add_endpoint(self, server_id, service, place):
+        """Start a backend server and register it."""
+        endpoint = Endpoint(server_id, service, place).start()
+        self.endpoint_by_id[server_id] = endpoint
+        self.rows.put("servers", server_id, endpoint.row())
+
+    def _beat(self):
+        while True:
+            eventlet.sleep(HEARTBEAT_S)
+            for server_id, endpoint in self.endpoint_by_id.items():
+                self.rows.put("servers", server_id, endpoint.row())
+
+    def start_entry(self, name, place):
+        """Start an entry and wait until it is ready."""
+        entry = self.start_entry_process(name, place)
+        entry.wait_ready()
+        return entry
+
+    def start_entry_process(self, name, place):
+        """Start an entry without waiting for it."""
+        folder = Path(self.folder.name)
+        entry = Entry(name, place, self.store_address, folder, self.region_by_place)
+        self.entries.append(entry)
+        return entry
+
+    def stop(self):
+        """End everything."""
+        self._beats.kill()
+        for entry in self.entries:
+            entry.kill()
+        self.folder.cleanup()
+
+    def runs(self, request_id):
+        """Return how often a request has run, at all servers together."""
+        return sum(endpoint.runs[request_id] for endpoint in self.endpoint_by_id.values())
+
+    def set_fault(self, fault, service="", count=3):
+        """Give some servers of a service, or of all, a fault; the empty one ends it."""
+        chosen = [one for one in self.endpoint_by_id.values() if service in one.service]
+        for endpoint in chosen[:count]:
+            endpoint.fault = fault
+
+
+class Entry:
+    """One entry process.
+
+    Attributes
+    ----------
+    address : dict[str, str]
+        Where it listens, by the name of the port.
+    settings : Path
+        Its settings file.
+    """
+
+    PORTS = ("caller", "ready", "lookup", "peer", "metrics")
+
+    def __init__(self, name, place, store_address, folder, region_by_place):
+        self.name = name
+        self.place = place
+        self.address = {port: _free_address() for port in self.PORTS}
+        lines = ["[gateway]", f"name = {name}", f"place = {place}"]
+        lines += [f"{port}_address = {address}" for port, address in self.address.items()]
+        lines += [f"store_address = {store_address}", "stop_grace_s = 2", "[log]", "level = INFO"]
+        for one, region in region_by_place.items():
+            lines += [f"[place {one}]", f"region = {region}"]
+        self.settings = folder / f"{name}.ini"
+        self.settings.write_text("\n".join(lines), encoding="utf-8")
+        self.log_path = folder / f"{name}.log"
+        self.output = self.log_path.open("a")
+        command = [sys.executable, "-W", "ignore", "-m", "figfold.gateway.main"]
+        command.append(str(self.settings))
+        self.child = subprocess.Popen(command, cwd=ROOT, stdout=self.output)
+
+    def is_ready(self):
+        """Return whether the entry says that callers may come."""
+        try:
+            return self.get("ready", "/ready")[0] == 200
+        except OSError:
+            return False
+
+    def wait_ready(self):
+        """Wait until callers may come.
+
+        Raises
+        ------
+        RuntimeError
+            When that takes too long.
+        """
+        _wait(self.is_ready, f"{self.name} was not ready")
+
+    def wait_event(self, event):
+        """Wait until the entry has logged an event."""
+        _wait(lambda: event in self.log_path.read_text(encoding="utf-8"), f"no event {event}")
+
+    def get(self, port, path, headers=None):
+        """Send a GET to one of the ports and return status, headers and body."""
+        return self.send(port, "GET", path, None, headers)
+
+    def send(self, port, method, path, body, headers=None):
+        """Send a request to one of the ports and return status, headers and body."""
+        connection = green_client.HTTPConnection(self.address[port], timeout=CALL_TIMEOUT_S)
+        try:
+            connection.request(method, path, body, headers or {})
+            response = connection.getresponse()
+            return response.status, dict(response.getheaders()), response.read()
+        finally:
+            connection.close()
+
+    def request(
+        self, request_id, method="GET", path="/read/1", key="k", deadline_ms=2000, **others
+    ):
+        """Send a caller's request and return status, headers and body."""
+        headers = others | {
+            "Host": HOST,
+            "Attempt-Id": request_id,
+            "Affinity-Key": key,
+            "Deadline-Ms": str(deadline_ms),
+        }
+        return self.send("caller", method, path, b"x" if method == "POST" else None, headers)
+
+    def events(self):
+        """Return all lines of the entry's log."""
+        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines]
+
+    def terminate(self):
+        """Ask the entry to stop."""
+        self.child.send_signal(signal.SIGTERM)
+
+    def kill(self):
+        """End the entry at once."""
+        self.child.kill()
+        self.child.wait()
+        self.output.close()
+
+
+def _free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def _wait(condition, failure):
+    limit = time.monotonic() + READY_S
+    while not condition():
+        if time.monotonic() > limit:
+            raise RuntimeError(failure)
+        eventlet.sleep(0.05)
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -2,182 +2,45 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
-import tempfile
 import time
 import unittest
 from pathlib import Path
 
 import eventlet
 from eventlet.green import socket as green_socket
-from eventlet.green.http import client as green_client
 
-from standins.endpoint import Endpoint
-from standins.process import address_of, listen, spawn_wsgi
-from standins.rows import RowTables
+from bench.platform_deployment import PlatformDeployment, ServiceServers, make_configuration
 from test.support import ROOT
 
-READY_S = 20.0
-PLACE_BY_REGION = {"bne": ("bne-north", "bne-south"), "tsv": ("tsv-port",)}
+REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
+SERVERS = (
+    ServiceServers("stockview", "bne-north", 3),
+    ServiceServers("cutdesk", "bne-north", 3),
+)
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
-def make_configuration(version=1, timeout_s=1.0, service="cutdesk"):
-    common = {"host": "h.example", "targetLatencyS": 0.3, "priority": 1, "maxAttempts": 2}
-    common |= {"sticky": True}
+def configuration(version=1, timeout_s=1.0, service="cutdesk"):
+    reads = {"kind": "safe", "timeoutS": timeout_s, "service": "stockview"}
+    books = {"kind": "non_idempotent", "timeoutS": timeout_s, "service": service}
     routes = {
-        "any": common
-        | {"prefix": "/any/", "kind": "safe", "timeoutS": timeout_s, "service": "stockview"}
-        | {"sticky": False},
-        "read": common
-        | {"prefix": "/read/", "kind": "safe", "timeoutS": timeout_s, "service": "stockview"},
-        "book": common
-        | {"prefix": "/book/", "kind": "non_idempotent", "timeoutS": timeout_s, "service": service},
+        "any": reads | {"prefix": "/any/", "sticky": False},
+        "read": reads | {"prefix": "/read/"},
+        "book": books | {"prefix": "/book/"},
     }
-    services = {name: {"coldPerS": 2.6} for name in ("stockview", "cutdesk")}
-    return {"version": f"r{version}", "routes": routes, "services": services, "limits": {}}
-
-
-class Deployment:
-    """A store and servers as green threads of the test, and entries as processes."""
-
-    def __init__(self):
-        self.rows = RowTables()
-        listener = listen()
-        spawn_wsgi(listener, self.rows.app)
-        self.store_address = address_of(listener)
-        self.endpoint_by_id = {}
-        self.entries = []
-        self.folder = tempfile.TemporaryDirectory()
-        for service in ("stockview", "cutdesk"):
-            for number in range(3):
-                self.add_endpoint(f"{service}-{number}", service)
-        self.rows.put("op", "config", make_configuration())
-        self.beats = eventlet.spawn(self._beat)
-
-    def add_endpoint(self, server_id, service):
-        endpoint = Endpoint(server_id, service, "bne-north").start()
-        self.endpoint_by_id[server_id] = endpoint
-        self.rows.put("servers", server_id, endpoint.row())
-
-    def _beat(self):
-        while True:
-            eventlet.sleep(0.3)
-            for server_id, endpoint in self.endpoint_by_id.items():
-                self.rows.put("servers", server_id, endpoint.row())
-
-    def start_entry(self, name="entry-1", place="bne-north"):
-        entry = self.start_entry_process(name, place)
-        entry.wait_ready()
-        return entry
-
-    def start_entry_process(self, name="entry-1", place="bne-north"):
-        entry = Entry(name, place, self.store_address, Path(self.folder.name))
-        self.entries.append(entry)
-        return entry
-
-    def stop(self):
-        self.beats.kill()
-        for entry in self.entries:
-            entry.kill()
-        self.folder.cleanup()
-
-    def runs(self, request_id):
-        return sum(endpoint.runs[request_id] for endpoint in self.endpoint_by_id.values())
-
-    def set_fault(self, fault, service="", count=3):
-        chosen = [one for one in self.endpoint_by_id.values() if service in one.service]
-        for endpoint in chosen[:count]:
-            endpoint.fault = fault
-
-
-class Entry:
-    """One entry process."""
-
-    PORTS = ("caller", "ready", "lookup", "peer", "metrics")
-
-    def __init__(self, name, place, store_address, folder):
-        self.address = {port: free_address() for port in self.PORTS}
-        lines = ["[gateway]", f"name = {name}", f"place = {place}"]
-        lines += [f"{port}_address = {address}" for port, address in self.address.items()]
-        lines += [f"store_address = {store_address}", "stop_grace_s = 2", "[log]", "level = INFO"]
-        for region, places in PLACE_BY_REGION.items():
-            for one in places:
-                lines += [f"[place {one}]", f"region = {region}"]
-        self.settings = folder / f"{name}.ini"
-        self.settings.write_text("\n".join(lines), encoding="utf-8")
-        self.log_path = folder / f"{name}.log"
-        self.output = self.log_path.open("w")
-        command = [sys.executable, "-W", "ignore", "-m", "figfold.gateway.main"]
-        self.child = subprocess.Popen([*command, str(self.settings)], cwd=ROOT, stdout=self.output)
-
-    def wait_ready(self):
-        limit = time.monotonic() + READY_S
-        while time.monotonic() < limit:
-            try:
-                if self.get("ready", "/ready")[0] == 200:
-                    return
-            except OSError:
-                pass
-            eventlet.sleep(0.05)
-        raise RuntimeError("the entry was not ready")
-
-    def wait_event(self, event):
-        limit = time.monotonic() + READY_S
-        while time.monotonic() < limit:
-            if event in self.log_path.read_text(encoding="utf-8"):
-                return
-            eventlet.sleep(0.02)
-        raise RuntimeError(f"the entry did not log {event}")
-
-    def get(self, port, path, headers=None):
-        return self.send(port, "GET", path, None, headers)
-
-    def send(self, port, method, path, body, headers=None):
-        connection = green_client.HTTPConnection(self.address[port], timeout=10)
-        try:
-            connection.request(method, path, body, headers or {})
-            response = connection.getresponse()
-            return response.status, dict(response.getheaders()), response.read()
-        finally:
-            connection.close()
-
-    def request(
-        self, request_id, method="GET", path="/read/1", key="k", deadline_ms=2000, **others
-    ):
-        headers = others | {
-            "Host": "h.example",
-            "Attempt-Id": request_id,
-            "Affinity-Key": key,
-            "Deadline-Ms": str(deadline_ms),
-        }
-        return self.send("caller", method, path, b"x" if method == "POST" else None, headers)
-
-    def events(self):
-        lines = self.log_path.read_text(encoding="utf-8").splitlines()
-        return [json.loads(line) for line in lines]
-
-    def terminate(self):
-        self.child.send_signal(signal.SIGTERM)
-
-    def kill(self):
-        self.child.kill()
-        self.child.wait()
-        self.output.close()
+    return make_configuration(version, routes)
+
+
+def start_deployment():
+    return PlatformDeployment(REGION_BY_PLACE, SERVERS, configuration())
 
 
 class GatewayTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.deployment = Deployment()
-        cls.entry = cls.deployment.start_entry()
+        cls.deployment = start_deployment()
+        cls.entry = cls.deployment.start_entry("entry-1", "bne-north")
 
     @classmethod
     def tearDownClass(cls):
@@ -313,15 +176,15 @@
 
 class ChangeTest(unittest.TestCase):
     def setUp(self):
-        self.deployment = Deployment()
+        self.deployment = start_deployment()
         self.addCleanup(self.deployment.stop)
 
     def test_configuration_and_evacuation_reach_entries_through_each_other(self):
         deployment = self.deployment
-        first = deployment.start_entry("entry-1")
+        first = deployment.start_entry("entry-1", "bne-north")
         second = deployment.start_entry("entry-2", "bne-south")
         eventlet.sleep(2.0)
-        deployment.rows.put("op", "config", make_configuration(9, service="stockview"))
+        deployment.rows.put("op", "config", configuration(9, service="stockview"))
         eventlet.sleep(1.0)
         for entry in (first, second):
             body = entry.request(f"c-{entry.address['caller']}", "POST", "/book/1")[2]
@@ -334,7 +197,7 @@
 
     def test_request_that_comes_before_the_configuration_is_served_once_it_is_known(self):
         self.deployment.rows.is_down = True
-        entry = self.deployment.start_entry_process()
+        entry = self.deployment.start_entry_process("entry-1", "bne-north")
         entry.wait_event("store-lost")
         call = eventlet.spawn(entry.request, "early")
         eventlet.sleep(0.1)
@@ -342,13 +205,13 @@
         self.assertEqual(call.wait()[0], 200)
 
     def test_outage_of_the_store_changes_nothing_for_callers(self):
-        entry = self.deployment.start_entry()
+        entry = self.deployment.start_entry("entry-1", "bne-north")
         self.deployment.rows.is_down = True
         eventlet.sleep(2.5)
         self.assertEqual(entry.request("o1")[0], 200)
         self.deployment.rows.is_down = False
         self.deployment.rows.forget_history()
-        self.deployment.rows.put("op", "config", make_configuration(5, service="stockview"))
+        self.deployment.rows.put("op", "config", configuration(5, service="stockview"))
         eventlet.sleep(2.0)
         body = entry.request("o2", "POST", "/book/1")[2]
         self.assertTrue(body.startswith(b"stockview"), body)
@@ -357,7 +220,7 @@
         self.assertGreater(names.count("store-reachable"), 1)
 
     def test_stop_serves_what_it_has_and_what_still_comes(self):
-        entry = self.deployment.start_entry()
+        entry = self.deployment.start_entry("entry-1", "bne-north")
         for endpoint in self.deployment.endpoint_by_id.values():
             endpoint.cold_s = 0.8
         running = eventlet.spawn(entry.request, "s1", "GET", "/read/9", "new")
@@ -373,7 +236,7 @@
         self.assertEqual(self.deployment.runs("s2"), 1)
 
     def test_reload_is_whole_or_refused_with_its_reason(self):
-        entry = self.deployment.start_entry()
+        entry = self.deployment.start_entry("entry-1", "bne-north")
         text = entry.settings.read_text(encoding="utf-8")
         for changed, event in (
             (text.replace("[log]", "lookup_ttl_ms = 700\n[log]"), "reloaded"),
