Bound callers' times by the configuration, and what request bodies take up in memory

Cause: connections of callers that idle or send a head slowly were kept 120 s, whatever the configuration says, and count against the 1,500 that an entry takes; bodies of up to 64 MB each were read without any bound on all together, in 300 MB. Idle time and head time are the configuration's now, and a body that finds no room in 128 MB is refused as not run (E327). Found by reading. The test of the times failed before (120 s); those of bodies are new with their module.

--- a/bench/platform_deployment.py
+++ b/bench/platform_deployment.py
@@ -185,14 +185,22 @@
         """Send a request to one of the ports and return status, headers and body."""
         connection = green_client.HTTPConnection(self.address[port], timeout=CALL_TIMEOUT_S)
         try:
-            connection.request(method, path, body, headers or {})
+            chunked = "Transfer-Encoding" in (headers or {})
+            connection.request(method, path, body, headers or {}, encode_chunked=chunked)
             response = connection.getresponse()
             return response.status, dict(response.getheaders()), response.read()
         finally:
             connection.close()
 
     def request(
-        self, request_id, method="GET", path="/read/1", key="k", deadline_ms=2000, **others
+        self,
+        request_id,
+        method="GET",
+        path="/read/1",
+        key="k",
+        deadline_ms=2000,
+        body=b"x",
+        **others,
     ):
         """Send a caller's request and return status, headers and body."""
         headers = others | {
@@ -201,7 +209,7 @@
             "Affinity-Key": key,
             "Deadline-Ms": str(deadline_ms),
         }
-        return self.send("caller", method, path, b"x" if method == "POST" else None, headers)
+        return self.send("caller", method, path, body if method == "POST" else None, headers)
 
     def events(self):
         """Return all lines of the entry's log."""
--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -75,6 +75,7 @@
     NO_ROUTE = 324
     NO_CONFIGURATION = 325
     ENTRY_LEAVING = 326
+    NO_MEMORY = 327
 
     # Requests attempted at a backend server.
     CONNECT_FAILED = 401
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs
 
 import eventlet
-from attrs import define
+from attrs import Factory, define
 from eventlet.hubs import trampoline
 
 from figfold.core.codes import Code
@@ -15,6 +15,7 @@
 from figfold.entry.connections import HOP_BY_HOP
 from figfold.entry.http_protocol import make_protocol
 from figfold.entry.large_body import JoinedBody
+from figfold.gateway.bodies import BodyMemory, read_body
 from figfold.gateway.messages import FinalRefusal, GatewayRequest
 from figfold.platform.exchange import (
     is_set_by_entry,
@@ -41,11 +42,30 @@
 TEXT = ("Content-Type", "text/plain")
 
 
-def make_gateway_protocol(metrics):
-    """Return the protocol class of the request port."""
+def make_gateway_protocol(metrics, limits):
+    """Return the protocol class of the request port.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    limits : callable
+        The `CallerLimits` in force.
+    """
 
     class GatewayProtocol(make_protocol(metrics)):
-        """Keeps what an application needs of the request line and of the connection."""
+        """Bounds a caller's times, and keeps what an application needs of its connection."""
+
+        def _read_request_line(self):
+            # The library takes the first as the bound on an idle connection, and the second for
+            # each read after the request line.
+            self.server.keepalive = limits().idle_timeout_s
+            self.server.socket_timeout = limits().header_timeout_s
+            return super()._read_request_line()
+
+        def parse_request(self):
+            is_read = super().parse_request()
+            self.connection.settimeout(limits().idle_timeout_s)
+            return is_read
 
         def get_environ(self):
             environ = super().get_environ()
@@ -68,13 +88,16 @@
     stage : callable
         ``serving``, ``leaving`` (connections end after their answer) or ``closed`` (requests are
         refused as not run).
+    limits : callable
+        The `CallerLimits` in force.
     """
 
     serve: Callable
     stage: Callable
     metrics: object
     log: object
-    body_limit: Callable
+    limits: Callable
+    bodies: BodyMemory = Factory(BodyMemory)
     in_progress: int = 0
 
     def __call__(self, environ, start_response):
@@ -92,9 +115,15 @@
 
     def _answer(self, environ, start_response):
         started = now_s()
-        read = _read_request(environ, started, self.body_limit())
+        read = _read_request(environ, started, self.limits().body_bytes, self.bodies)
         if isinstance(read, FinalRefusal):
             return self._refuse(None, read, started, start_response)
+        try:
+            return self._answer_request(read, environ, started, start_response)
+        finally:
+            self.bodies.give_back(len(read.body))
+
+    def _answer_request(self, read, environ, started, start_response):
         if self.stage() == "closed":
             refusal = FinalRefusal(Code.ENTRY_LEAVING, True, "leaving", 0.0)
             return self._refuse(read, refusal, started, start_response)
@@ -223,11 +252,11 @@
 # Reading of requests.
 
 
-def _read_request(environ, started, body_limit):
+def _read_request(environ, started, body_limit, memory):
     raw_headers = environ[RAW_HEADERS]
     value_by_name = {name.lower(): value for name, value in raw_headers}
     head = read_request_head(lambda name: value_by_name.get(name.lower()))
-    body = _read_body(environ, body_limit)
+    body = read_body(environ, body_limit, memory)
     if isinstance(body, FinalRefusal):
         return body
     target = environ[RAW_TARGET]
@@ -268,27 +297,6 @@
     return (("Host", host), *passed)
 
 
-def _read_body(environ, limit):
-    declared = environ.get("CONTENT_LENGTH", "")
-    chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
-    if declared and not declared.isdigit():
-        return FinalRefusal(Code.BAD_REQUEST, True, "bad-length")
-    if declared and int(declared) > limit:
-        return FinalRefusal(Code.BODY_TOO_LARGE, True, "body-too-large")
-    if not declared and not chunked:
-        return b""
-    stream = environ["wsgi.input"]
-    try:
-        body = stream.read(limit + 1 if chunked else int(declared))
-    except (OSError, ValueError):
-        return FinalRefusal(Code.BAD_REQUEST, True, "body-incomplete")
-    if len(body) > limit:
-        return FinalRefusal(Code.BODY_TOO_LARGE, True, "body-too-large")
-    if declared and len(body) != int(declared):
-        return FinalRefusal(Code.BAD_REQUEST, True, "body-incomplete")
-    return body
-
-
 def _fingerprint(method, host, target, body):
     digest = sha256(f"{method}\0{host}\0{target}\0".encode("utf-8", "surrogateescape"))
     digest.update(body)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -12,6 +12,7 @@
 from figfold.core.membership import Membership
 from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
 from figfold.core.quarantine import Quarantine
+from figfold.core.traffic.configuration import CallerLimits
 from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector
 from figfold.core.traffic.splitting import Splitter
@@ -202,7 +203,7 @@
             stage=lambda: self.stage,
             metrics=self.metrics,
             log=self.log,
-            body_limit=self._body_limit,
+            limits=self._limits,
         )
 
     # Running.
@@ -212,7 +213,9 @@
         settings = self.settings
         self.peer_server.start()
         protocol = make_protocol(self.metrics)
-        self._serve(settings.caller_address, self.app, make_gateway_protocol(self.metrics))
+        self._serve(
+            settings.caller_address, self.app, make_gateway_protocol(self.metrics, self._limits)
+        )
         self._serve(settings.ready_address, ReadyApp(self.is_ready), protocol)
         self.lookup = LookupApp(self.look_up, settings.lookup_ttl_s, self.metrics)
         self._serve(settings.lookup_address, self.lookup, protocol)
@@ -344,9 +347,9 @@
             for name in services
         )
 
-    def _body_limit(self):
+    def _limits(self):
         configuration = self.beliefs.configuration
-        return configuration.limits.body_bytes if configuration else ANSWER_BUFFER_BYTES
+        return configuration.limits if configuration else CallerLimits()
 
     def _count_store(self, code, operation):
         self.metrics.count("store_calls", operation=operation, code=str(int(code)))
@@ -361,6 +364,7 @@
                 ("servers", {}, len(self.beliefs.fleet.server_by_id)),
                 ("servers_age_seconds", {}, self.beliefs.servers_age_s(now)),
                 ("live_entries", {}, len(self.beliefs.live_places())),
+                ("request_body_bytes", {}, self.app.bodies.held_bytes),
                 ("connections_opened", {}, self.connections.opened),
                 ("log_lines_dropped", {}, self.event_log.total_dropped),
             )
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -12,7 +12,7 @@
 from eventlet.green import socket as green_socket
 
 from bench.platform_deployment import PlatformDeployment, ServiceServers, make_configuration
-from test.support import ROOT
+from test.support import ROOT, host_and_port
 
 REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
 SERVERS = (
@@ -79,6 +79,22 @@
             endpoint.cold_s = 0.06
         self.assertGreater(len(servers), 1)
 
+    def test_bodies_come_whole_with_a_length_and_in_chunks(self):
+        body = bytes(range(256)) * 1000
+        for number, headers in enumerate(({}, {"Transfer-Encoding": "chunked"})):
+            request_id = f"body-{number}"
+            status, _, _ = self.entry.request(
+                request_id, "POST", "/book/1", body=iter([body]) if headers else body, **headers
+            )
+            self.assertEqual(status, 200)
+            got = [
+                sent
+                for endpoint in self.deployment.endpoint_by_id.values()
+                for _, head, sent in endpoint.heads
+                if head["attempt-id"] == request_id
+            ]
+            self.assertEqual([body], got)
+
     def test_no_route_is_not_found(self):
         self.assertEqual(self.entry.request("a3", path="/other/")[0], 404)
 
@@ -204,6 +220,23 @@
         self.deployment.rows.is_down = False
         self.assertEqual(call.wait()[0], 200)
 
+    def test_idle_and_slow_callers_are_let_go_by_the_configured_times(self):
+        limits = {"idleTimeoutS": 1.5, "headerTimeoutS": 0.5}
+        self.deployment.rows.put("op", "config", configuration(3) | {"limits": limits})
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        line = b"GET /read/1 HTTP/1.1\r\nHost: h.example\r\n"
+        cases = ((b"", 0.9, 2.5), (line, 0.2, 1.2), (line + b"\r\n", 1.0, 2.5))
+        for sent, least_s, most_s in cases:
+            with self.subTest(sent=sent):
+                sock = green_socket.create_connection(host_and_port(entry.address["caller"]))
+                started = time.monotonic()
+                sock.sendall(sent)
+                while sock.recv(4096):
+                    pass
+                self.assertGreater(time.monotonic() - started, least_s)
+                self.assertLess(time.monotonic() - started, most_s)
+                sock.close()
+
     def test_outage_of_the_store_changes_nothing_for_callers(self):
         entry = self.deployment.start_entry("entry-1", "bne-north")
         self.deployment.rows.is_down = True
