Tell refused callers when the wait will be short enough

Cause: whoever could not be answered within the route's time was told to come back after 0.3 s, though the queue was too long by up to several seconds, and was refused again. The wait shrinks as time goes on, and a return has the route's time anew, so that what the wait was too long by is the true time. Callers who return then also spread by how long their queue is.

Two tests failed before.

--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -43,6 +43,8 @@
         Servers that it was sent to.
     last_code : Code
         Why the latest attempt gave no answer.
+    retry_after_s : float
+        After which time a refused caller may be served.
     error_answer : ServerAnswer or None
         A server's own failure, which is given when nothing better comes.
     """
@@ -59,6 +61,7 @@
     last_code: Code = Code.OK
     error_answer: object = None
     hedged: bool = False
+    retry_after_s: float = RETRY_AFTER_S
 
     @property
     def key(self):
@@ -113,6 +116,8 @@
                 left_ms=round((self.ends_s - now) * 1000),
             )
             self.last_code = Code.DEADLINE_TOO_SHORT
+            # The wait shrinks as time goes on, and the route's time begins anew on return.
+            self.retry_after_s = max(RETRY_AFTER_S, choice.expected_s - (self.ends_s - now))
             return False
         runner = self.runner
         attempt_id = runner.next_id()
@@ -318,7 +323,7 @@
             return Ok(self.error_answer)
         if step is Step.REFUSE:
             code = self.last_code if self.last_code is not Code.OK else Code.NO_SERVER
-            return Err(FinalRefusal(code, True, reason, RETRY_AFTER_S))
+            return Err(FinalRefusal(code, True, reason, self.retry_after_s))
         code = Code.SERVER_TIMEOUT if timed_out else self.last_code
         if reason == "caller-gone":
             code = Code.CALLER_GONE
--- /dev/null
+++ b/test/test_gateway_run.py
@@ -0,0 +1,67 @@
+"""One request's run, without a network: what it tells a caller that cannot be served now."""
+
+import unittest
+from types import SimpleNamespace
+from unittest.mock import Mock, patch
+
+from figfold.core.codes import Code
+from figfold.core.traffic.configuration import Repeat, Route, ServiceWeight
+from figfold.core.traffic.selection import Choice
+from figfold.gateway.messages import GatewayRequest
+from figfold.gateway.request_run import RETRY_AFTER_S, RequestRun
+
+TIMEOUT_S = 2.5
+NOW_S = 100.0
+
+
+def make_run(choice, timeout_s=TIMEOUT_S, caller_s=4.0):
+    runner = Mock()
+    runner.selector.choose.return_value = choice
+    runner.overflow.take.return_value = False
+    runner.beliefs.regions_with_room.return_value = ()
+    request = GatewayRequest(
+        request_id="r1",
+        method="GET",
+        target="/a/1",
+        host="h",
+        path="/a/1",
+        headers=(),
+        body=b"",
+        arrived_s=NOW_S,
+        caller_ends_s=NOW_S + caller_s,
+        key="k",
+        fingerprint="f",
+    )
+    services = (ServiceWeight("stock", 1.0),)
+    route = Route("read", "h", "/a/", Repeat.SAFE, services, timeout_s=timeout_s)
+    return RequestRun(runner, request, route, "stock", SimpleNamespace(version=1))
+
+
+def choice_in(expected_s):
+    return Choice("s1", "10.0.0.1:80", expected_s, 0.2, True, waits=True)
+
+
+class FullServersTest(unittest.TestCase):
+    """Every server of an object has a queue that outlasts the request."""
+
+    def refuse(self, choice):
+        with patch("figfold.gateway.request_run.now_s", lambda: NOW_S):
+            return make_run(choice).finish().err()
+
+    def test_caller_is_told_when_the_wait_will_be_short_enough(self):
+        refusal = self.refuse(choice_in(TIMEOUT_S + 0.9))
+        self.assertIs(Code.DEADLINE_TOO_SHORT, refusal.code)
+        self.assertTrue(refusal.is_not_run)
+        self.assertAlmostEqual(0.9, refusal.retry_after_s, 3)
+
+    def test_longer_queues_send_callers_away_for_longer(self):
+        times = [self.refuse(choice_in(TIMEOUT_S + more)).retry_after_s for more in (0.5, 1.0, 2.0)]
+        self.assertEqual(sorted(set(times)), times)
+
+    def test_pause_is_never_too_short_to_change_anything(self):
+        self.assertEqual(RETRY_AFTER_S, self.refuse(choice_in(TIMEOUT_S + 0.01)).retry_after_s)
+        self.assertEqual(RETRY_AFTER_S, self.refuse(None).retry_after_s)
+
+
+if __name__ == "__main__":
+    unittest.main()
