Show the operators what the platform's store holds and what each entry knows of it

figfold platform status and platform explain read configuration, evacuations, servers and entries from the store, and ask each entry's metrics; they write nothing. Entries register their metrics address for it. Seen on a live deployment on loopback, where the first try failed for a missing argument that tests without a network had not shown; a test runs the command as a process now.

--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -53,6 +53,8 @@
 STOP_POLL_S = 0.02
 REGISTER_PAUSE_S = 1.0
 UNCONFIRMED_S = 4.0
+# What an entry tells of itself in the store.
+REGISTERED = ("place", "peer_address", "metrics_address")
 # Options that a running process cannot change.
 FIXED = (
     "name",
@@ -296,7 +298,8 @@
 
     def _register(self):
         """Write the own row until the store has it, and learn of the others."""
-        value = {"place": self.settings.place, "peer_address": self.settings.peer_address}
+        settings = self.settings
+        value = {name: getattr(settings, name) for name in REGISTERED}
         while True:
             rows = self.watch.register(self.settings.name, value)
             if rows is not None:
--- a/figfold/platform/beliefs.py
+++ b/figfold/platform/beliefs.py
@@ -45,11 +45,12 @@
 
 @frozen
 class EntryRow:
-    """Where another entry may be reached by its peers."""
+    """Where another entry may be reached by its peers, and by the operators' command."""
 
     name: str
     place: str
     peer_address: str
+    metrics_address: str = ""
 
 
 def read_operator_rows(rows):
@@ -102,6 +103,8 @@
     for row in rows:
         value = row.value if isinstance(row.value, dict) else {}
         place, address = value.get("place"), value.get("peer_address")
+        metrics = value.get("metrics_address", "")
+        metrics = metrics if isinstance(metrics, str) else ""
         if isinstance(place, str) and isinstance(address, str) and place and address:
-            entries.append(EntryRow(row.key, place, address))
+            entries.append(EntryRow(row.key, place, address, metrics))
     return tuple(entries)
--- a/figfold/platform/rows.py
+++ b/figfold/platform/rows.py
@@ -69,7 +69,7 @@
     count: object = ignore_count
 
     @classmethod
-    def from_config(cls, address, timeout_s, count):
+    def from_config(cls, address, timeout_s, count=ignore_count):
         """Return a client of the store at ``host:port``; no connection is opened yet."""
         url = f"http://{address}"
         return cls(
--- a/figfold/ui/commands.py
+++ b/figfold/ui/commands.py
@@ -18,6 +18,7 @@
     show_plan,
     undrain_place,
 )
+from figfold.ui.platform import explain_route, show_platform
 from figfold.ui.sheets import apply_sheet, check_settings, check_sheet
 
 DEFAULT_WAIT_S = "10"
@@ -292,6 +293,38 @@
     return Command(lambda: sum_refusals(sys.stdin, start_s, end_s), read_flag(json))
 
 
+@checks_values
+def platform_status(*, settings, json=False):
+    """Show configuration, evacuations, servers and entries as the platform's store has them.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file of an entry on the users' platform.
+    json : bool
+        Print JSON.
+    """
+    return Command(lambda: show_platform(settings), read_flag(json))
+
+
+@checks_values
+def platform_explain(*, settings, host, path, json=False):
+    """Show which route takes a request, and the servers that it may go to.
+
+    Parameters
+    ----------
+    settings : str
+        The settings file of an entry on the users' platform.
+    host : str
+        Host of the request.
+    path : str
+        Path of the request.
+    json : bool
+        Print JSON.
+    """
+    return Command(lambda: explain_route(settings, host, path), read_flag(json))
+
+
 COMMANDS = {
     "settings": {"check": settings_check},
     "sheet": {"check": sheet_check, "apply": sheet_apply},
@@ -301,6 +334,7 @@
         "history": plan_history,
         "restore": plan_restore,
     },
+    "platform": {"status": platform_status, "explain": platform_explain},
     "status": status,
     "explain": explain,
     "drain": drain,
--- /dev/null
+++ b/figfold/ui/platform.py
@@ -0,0 +1,166 @@
+"""Work of the commands that show what the platform's store holds and what entries know of it."""
+
+import re
+from collections import Counter
+
+import urllib3
+from attrs import frozen
+
+from figfold.config.gateway import load_gateway_settings
+from figfold.core.codes import Code, Failure
+from figfold.core.traffic.configuration import Configuration
+from figfold.platform.beliefs import read_entry_rows, read_operator_rows, read_server_rows
+from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE, RowStore
+from figfold.ui.output import Report, UserError, format_table, unwrap
+
+SERVER_COLUMNS = ("service", "place", "ready", "cold", "leaving", "evacuated")
+ENTRY_COLUMNS = ("entry", "place", "configuration", "servers age", "in progress")
+METRICS_TIMEOUT_S = 1.0
+METRIC = re.compile(r"^figfold_(\w+) (\S+)$", re.MULTILINE)
+UNKNOWN = "?"
+
+
+@frozen
+class StoreView:
+    """What the store holds.
+
+    Attributes
+    ----------
+    evacuated : frozenset[str]
+        Data centres whose servers are to get nothing.
+    failures : tuple[Failure, ...]
+        Rows that could not be read.
+    """
+
+    configuration: Configuration | None
+    evacuated: frozenset
+    servers: tuple
+    entries: tuple
+    failures: tuple
+
+
+def read_store(store):
+    """Return the `StoreView` of a store, whose rows are only read.
+
+    Raises
+    ------
+    UserError
+        When the store does not answer.
+    """
+    operator = read_operator_rows(unwrap(store.read_table(OPERATOR_TABLE)).rows)
+    servers = read_server_rows(unwrap(store.read_table(SERVER_TABLE)).rows)
+    entries = read_entry_rows(unwrap(store.read_table(ENTRY_TABLE)).rows)
+    evacuated = frozenset(place for place, is_on in operator.evacuation_by_place.items() if is_on)
+    failures = operator.failures + servers.failures
+    return StoreView(operator.configuration, evacuated, servers.records, entries, failures)
+
+
+def show_platform(settings):
+    """Return what the store holds and what each entry says that it knows of it."""
+    view = read_store(_store_of(settings))
+    told_by_entry = {entry.name: fetch_metrics(entry.metrics_address) for entry in view.entries}
+    return report_platform(view, told_by_entry)
+
+
+def report_platform(view, told_by_entry):
+    """Return the report on a `StoreView` and on the entries' metrics by entry and name."""
+    version = view.configuration.version if view.configuration else None
+    head = f"configuration {version}, evacuated: {', '.join(sorted(view.evacuated)) or 'none'}"
+    servers = _server_rows(view)
+    entries = [_entry_row(entry, told_by_entry.get(entry.name, {})) for entry in view.entries]
+    text = "\n\n".join(
+        (head, format_table(SERVER_COLUMNS, servers), format_table(ENTRY_COLUMNS, entries))
+    )
+    value = {
+        "configuration": version,
+        "evacuated": sorted(view.evacuated),
+        "servers": [dict(zip(SERVER_COLUMNS, row, strict=True)) for row in servers],
+        "entries": [dict(zip(ENTRY_COLUMNS, row, strict=True)) for row in entries],
+    }
+    return Report(text, value, view.failures)
+
+
+def explain_route(settings, host, path):
+    """Return which route takes a request and the servers that it may go to."""
+    return report_route(read_store(_store_of(settings)), host, path)
+
+
+def report_route(view, host, path):
+    """Return the report on the route of a request.
+
+    Raises
+    ------
+    UserError
+        When there is no configuration, or none of its routes takes the request.
+    """
+    route = view.configuration.match(host, path) if view.configuration else None
+    if route is None:
+        message = f"no route of host {host!r} takes the path {path!r}"
+        raise UserError.from_failure(
+            Failure(Code.NO_ROUTE, message, "see the configuration's routes")
+        )
+    weights = ", ".join(f"{one.service} {one.weight:g}" for one in route.services)
+    lines = [
+        f"route {route.name} of configuration {view.configuration.version}",
+        f"services by weight: {weights}; {route.repeat.value}, sticky: {route.is_sticky}",
+        f"at most {route.max_attempts} servers and {route.timeout_s:g} s; aim "
+        f"{route.target_latency_s:g} s; homes: {', '.join(sorted(route.home_regions)) or 'all'}",
+    ]
+    named = {one.service for one in route.services}
+    chosen = [server for server in view.servers if server.service in named]
+    rows = [(server.id, server.service, server.place, _state(server, view)) for server in chosen]
+    columns = ("server", "service", "place", "state")
+    text = "\n".join((*lines, "", format_table(columns, sorted(rows))))
+    value = {
+        "route": route.name,
+        "configuration": view.configuration.version,
+        "servers": [dict(zip(columns, row, strict=True)) for row in sorted(rows)],
+    }
+    return Report(text, value)
+
+
+def fetch_metrics(address):
+    """Return the plain metrics of an entry by name; empty when it does not answer."""
+    if not address:
+        return {}
+    try:
+        with urllib3.PoolManager(retries=False, timeout=METRICS_TIMEOUT_S) as pool:
+            answer = pool.request("GET", f"http://{address}/metrics")
+    except urllib3.exceptions.HTTPError:
+        # The table shows the entry with unknown values, which is the answer to the question.
+        return {}
+    return dict(METRIC.findall(answer.data.decode("utf-8", "replace")))
+
+
+def _store_of(settings):
+    loaded = unwrap(load_gateway_settings(settings))
+    return RowStore.from_config(loaded.store_address, loaded.store_timeout_s)
+
+
+def _server_rows(view):
+    counts = Counter()
+    for server in view.servers:
+        counts[server.service, server.place, _state(server, view)] += 1
+    groups = sorted({(service, place) for service, place, _ in counts})
+    return [
+        (service, place, *(counts[service, place, state] for state in SERVER_COLUMNS[2:]))
+        for service, place in groups
+    ]
+
+
+def _state(server, view):
+    if server.is_leaving:
+        return "leaving"
+    if server.place in view.evacuated:
+        return "evacuated"
+    return "cold" if server.cold_remaining_s > 0.0 else "ready"
+
+
+def _entry_row(entry, told):
+    return (
+        entry.name,
+        entry.place,
+        told.get("configuration_version", UNKNOWN),
+        told.get("servers_age_seconds", UNKNOWN),
+        told.get("requests_in_progress", UNKNOWN),
+    )
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -10,6 +10,7 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+from eventlet.green import subprocess as green_subprocess
 
 from bench.platform_deployment import PlatformDeployment, ServiceServers, make_configuration
 from test.support import ROOT, host_and_port
@@ -165,6 +166,16 @@
         endpoint.state = "ready"
         self.assertNotEqual(body.split()[0].decode(), home)
 
+    def test_command_shows_the_store_and_what_the_entry_knows(self):
+        command = [sys.executable, "-m", "figfold.ui.main", "platform", "status", "--json"]
+        command += ["--settings", str(self.entry.settings)]
+        ended = green_subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, timeout=20)
+        self.assertEqual(0, ended.returncode)
+        shown = json.loads(ended.stdout)
+        entry = next(one for one in shown["entries"] if one["entry"] == "entry-1")
+        self.assertEqual((1, "1"), (shown["configuration"], entry["configuration"]))
+        self.assertEqual(3, sum(one["ready"] for one in shown["servers"]) // 2)
+
     def test_look_up_and_metrics(self):
         status, _, body = self.entry.get("lookup", "/resolve?name=h&region=bne&zone=bne-north")
         self.assertEqual(status, 200)
