--- a/test/test_traffic_selection.py
+++ b/test/test_traffic_selection.py
@@ -3,6 +3,9 @@
 import unittest
 from random import Random
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.fleet import Fleet, ServerRecord
 from figfold.core.traffic.placement import Placement
@@ -178,5 +181,50 @@
         return [one for one in running if one[0] > now_s]
 
 
+class HomeTest(unittest.TestCase):
+    """Requests of a route with homes stay there, however full its servers are."""
+
+    REGION_BY_PLACE = {"a-1": "a", "b-1": "b", "c-1": "c"}
+
+    def selector(self, region):
+        fleet = Fleet()
+        records = [
+            ServerRecord(f"{place}-{i}", "stock", f"10.0.0.{i}:80", place, SLOTS, born_ms=1)
+            for place in self.REGION_BY_PLACE
+            for i in range(1, 4)
+        ]
+        fleet.take_listing(records, 0.0, False)
+        placement = Placement(region, f"{region}-1", self.REGION_BY_PLACE)
+        return Selector(fleet, placement, self.REGION_BY_PLACE, lambda _place: 0.01)
+
+    @given(
+        st.sampled_from("abc"),
+        st.sets(st.sampled_from("abc"), min_size=1),
+        st.text(max_size=3),
+        st.booleans(),
+        st.booleans(),
+        st.integers(0, 12),
+        st.booleans(),
+    )
+    def test_choice_lies_in_a_home(self, region, homes, key, bulk, overflow, busy, evacuated):
+        selector = self.selector(region)
+        for server in selector.fleet.server_by_id.values():
+            if server.record.place[0] in homes:
+                for attempt_id in range(busy):
+                    selector.load(server).start(attempt_id, "other", 0.0)
+        if evacuated:
+            selector.fleet.set_evacuated([f"{min(homes)}-1"], 0.0)
+        tried = set()
+        for _ in range(4):
+            wanted = Wanted(
+                "stock", key, frozenset(tried), frozenset(homes), bulk, overflow, frozenset("abc")
+            )
+            choice = selector.choose(wanted, make_durations(), 0.0, lambda _server: False)
+            if choice is None:
+                break
+            self.assertIn(choice.server_id[0], homes)
+            tried.add(choice.server_id)
+
+
 if __name__ == "__main__":
     unittest.main()
