--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,12 +8,13 @@
 import time
 
 from bench.capacity_fit import Slope
+from bench.capacity_gateway import gateway_slopes
 from bench.capacity_idle import ENTRY_COUNTS, measure_deployments
 from bench.capacity_slopes import decision_slopes
 from bench.capacity_state import state_slopes
 from test.support import ROOT
 
-PARTS = ("decisions", "calls", "deployments")
+PARTS = ("decisions", "gateway", "calls", "deployments")
 CALLS_LIMIT_S = 120
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -23,6 +24,8 @@
     """Return the slopes of one part of the measurement, and failures by entries."""
     if part == "decisions":
         return decision_slopes() + state_slopes(seed), {}
+    if part == "gateway":
+        return gateway_slopes(), {}
     if part == "calls":
         return _call_slopes(seed), {}
     points = measure_deployments(seed, entry_counts)
--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -42,7 +42,8 @@
 # Memory.
 
 
-def _memory_of(make):
+def memory_of(make):
+    """Return the bytes that what a function makes takes up while it is kept."""
     gc.collect()
     tracemalloc.start()
     kept = make()
@@ -75,7 +76,7 @@
     }
     slopes = []
     for (name, variable), (counts, make) in states.items():
-        points = [(count, _memory_of(lambda n=count, m=make: m(n))) for count in counts]
+        points = [(count, memory_of(lambda n=count, m=make: m(n))) for count in counts]
         slopes.append(Slope.from_points(name, "bytes", variable, points))
     return slopes
 
@@ -151,7 +152,7 @@
             started = time.process_time()
             load_settings(file.name, needs=()).unwrap()
             times.append((count, time.process_time() - started))
-            kept.append((count, _memory_of(lambda name=file.name: load_settings(name, needs=()))))
+            kept.append((count, memory_of(lambda name=file.name: load_settings(name, needs=()))))
     return [
         Slope.from_points("settings: read", "s", "blocks", times),
         Slope.from_points("settings: kept", "bytes", "blocks", kept),
--- a/test/test_capacity.py
+++ b/test/test_capacity.py
@@ -4,6 +4,7 @@
 
 from bench.capacity_deployment import CapacityDeployment
 from bench.capacity_fit import Slope, cost_us, fit_line
+from bench.capacity_gateway import gateway_slopes
 from bench.capacity_samples import (
     ENTRIES_PER_PLACE,
     entry_names,
@@ -101,6 +102,15 @@
         self.assertEqual(len(answer["entries"]), 4)
 
 
+class GatewaySlopesTest(unittest.TestCase):
+    def test_each_slope_has_its_points(self):
+        slopes = {slope.name: slope for slope in gateway_slopes()}
+        for slope in slopes.values():
+            self.assertEqual(3, len(slope.points), slope.name)
+            self.assertGreater(min(value for _, value in slope.points), 0.0, slope.name)
+        self.assertGreater(slopes["whole knowledge, size"].slope, 30.0)
+
+
 class DeploymentTest(unittest.TestCase):
     def setUp(self):
         self.deployment = CapacityDeployment(2 * ENTRIES_PER_PLACE, 1)
