Start no timer for a request whose entry knows the configuration

The wait of an entry that has just started cost every request a timer; found in the reading of the change.

--- a/figfold/gateway/runner.py
+++ b/figfold/gateway/runner.py
@@ -55,9 +55,9 @@
             ``(on_gone) -> callable``: calls ``on_gone`` once the caller has closed its connection,
             until the returned function is called.
         """
-        configuration = self._wait_for_configuration()
-        if configuration is None:
+        if not self._is_informed() and not self._wait_until_informed():
             return Err(FinalRefusal(Code.NO_CONFIGURATION, True, "unknown", RETRY_AFTER_S))
+        configuration = self.beliefs.configuration
         route = configuration.match(request.host, request.path)
         if route is None:
             return Err(FinalRefusal(Code.NO_ROUTE, True, "no-route"))
@@ -78,13 +78,15 @@
             stop_watching()
             run.cancel_all()
 
-    def _wait_for_configuration(self):
-        """Return the configuration, which a process that has just started may yet have to read."""
-        beliefs = self.beliefs
+    def _is_informed(self):
+        return self.beliefs.configuration is not None and self.beliefs.fleet.is_known
+
+    def _wait_until_informed(self):
+        """Wait for what a process that has just started may yet have to read."""
         with Timeout(START_WAIT_S, False):
-            while beliefs.configuration is None or not beliefs.fleet.is_known:
-                beliefs.changed.wait()
-        return beliefs.configuration if beliefs.fleet.is_known else None
+            while not self._is_informed():
+                self.beliefs.changed.wait()
+        return self._is_informed()
 
     def keep_routes(self, route_by_name):
         """Forget what was learned of routes that no longer exist."""
