--- a/bench/platform_deployment.py
+++ b/bench/platform_deployment.py
@@ -83,9 +83,9 @@
         self.rows.put("op", "config", configuration)
         self._beats = eventlet.spawn(self._beat)
 
-    def add_endpoint(self, server_id, service, place):
+    def add_endpoint(self, server_id, service, place, **options):
         """Start a backend server and register it."""
-        endpoint = Endpoint(server_id, service, place).start()
+        endpoint = Endpoint(server_id, service, place, **options).start()
         self.endpoint_by_id[server_id] = endpoint
         self.rows.put("servers", server_id, endpoint.row())
 
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -1,6 +1,7 @@
 """A backend server that speaks the platform's published protocol, with slots and faults."""
 
 import socket
+import time
 from collections import Counter, OrderedDict
 
 import eventlet
@@ -22,6 +23,8 @@
     fault : str
         What it does with requests: empty, ``reset`` after the run, ``cut`` an answer without a
         length, ``foreign`` answers, ``shed``, ``silent``, or ``extra`` answers.
+    cold_start_s : float
+        For how long after its start it tells that it is cold.
     runs : Counter
         Runs by request id.
     cancelled : int
@@ -34,12 +37,14 @@
     cold_s: float = 0.06
     warm_s: float = 0.02
     slots: int = 3
+    cold_start_s: float = 0.0
     fault: str = ""
     runs: Counter = field(factory=Counter)
     heads: list = field(factory=list)
     cancelled: int = 0
     sequence: int = 0
     state: str = "ready"
+    _started_s: float = 0.0
     _listener: object = None
     _free_slots: Semaphore = None
     _running: int = 0
@@ -47,6 +52,7 @@
 
     def start(self):
         """Listen and serve in green threads."""
+        self._started_s = time.monotonic()
         self._listener = listen()
         self._free_slots = Semaphore(self.slots)
         eventlet.spawn_n(self._accept)
@@ -69,7 +75,11 @@
                 "zone": self.place,
                 "slots": self.slots,
             },
-            "status": {"state": self.state, "sequence": self.sequence, "coldRemainingS": 0},
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "coldRemainingS": max(0.0, self._started_s + self.cold_start_s - time.monotonic()),
+            },
         }
 
     def _accept(self):
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -222,6 +222,40 @@
             self.assertEqual(entry.request("e1")[0], 503)
         deployment.rows.remove("op", "evacuate/bne-north")
 
+    def test_servers_that_have_just_started_get_no_more_than_they_bear(self):
+        slow = configuration(timeout_s=8.0)
+        deployment = PlatformDeployment(REGION_BY_PLACE, SERVERS[1:], slow)
+        self.addCleanup(deployment.stop)
+        for number in range(3):
+            deployment.add_endpoint(f"new-{number}", "stockview", "bne-north", cold_start_s=20.0)
+        entry = deployment.start_entry("entry-1", "bne-north")
+        began = time.monotonic()
+        calls = [
+            eventlet.spawn(entry.request, f"c{n}", key=str(n), deadline_ms=9000) for n in range(90)
+        ]
+        while time.monotonic() - began < 1.0:
+            eventlet.sleep(0.05)
+        # The rule's bound for one second, with the rate of the configuration.
+        for server_id, endpoint in deployment.endpoint_by_id.items():
+            if server_id.startswith("new"):
+                self.assertLessEqual(endpoint.runs.total(), 2.6 * 1.5 + 5, server_id)
+        statuses = {call.wait()[0] for call in calls}
+        self.assertIn(200, statuses)
+        self.assertLessEqual(statuses, {200, 503})
+
+    def test_address_that_another_server_has_now_runs_nothing_for_the_former(self):
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        for method, path, key in (("GET", "/read/1", "g"), ("POST", "/book/1", "p")):
+            home = entry.request("w", method, path, key)[2].split()[0].decode()
+            endpoint = self.deployment.endpoint_by_id[home]
+            # Its row stays as it was; the process at the address is another one.
+            del self.deployment.endpoint_by_id[home]
+            endpoint.id = "another"
+            before = endpoint.runs.total()
+            status, _, body = entry.request("after", method, path, key)
+            self.assertEqual((status, endpoint.runs.total()), (200, before), method)
+            self.assertNotIn(body.split()[0].decode(), (home, "another"))
+
     def test_idle_and_slow_callers_are_let_go_by_the_configured_times(self):
         limits = {"idleTimeoutS": 1.5, "headerTimeoutS": 0.5}
         self.deployment.rows.put("op", "config", configuration(3) | {"limits": limits})
