--- a/bench/platform_deployment.py
+++ b/bench/platform_deployment.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 HEARTBEAT_S = 0.3
 CALL_TIMEOUT_S = 10.0
 HOST = "h.example"
+_given_addresses = set()
 
 
 @frozen
@@ -223,10 +225,26 @@
         self.output.close()
 
 
+def _own_host():
+    """Return a loopback address of this process alone.
+
+    Outgoing connections come from 127.0.0.1 and take any free port there, also one that was chosen
+    for an entry that does not listen yet.
+    """
+    number = os.getpid()
+    return f"127.1.{number >> 8 & 255}.{number & 255}"
+
+
 def _free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return an address that nothing listens on and that was not returned before."""
+    host = _own_host()
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            address = f"{host}:{sock.getsockname()[1]}"
+        if address not in _given_addresses:
+            _given_addresses.add(address)
+            return address
 
 
 def _wait(condition, failure):
--- a/test/test_platform_demo.py
+++ b/test/test_platform_demo.py
@@ -4,6 +4,7 @@
 import io
 import unittest
 
+from bench import platform_deployment
 from bench.platform_demo import PlatformDemo
 
 
@@ -41,5 +42,13 @@
         self.assertEqual(len(self.demo.services) * len(self.demo.places), len(found))
 
 
+class AddressTest(unittest.TestCase):
+    def test_no_address_is_given_twice_nor_taken_by_outgoing_connections(self):
+        addresses = [platform_deployment._free_address() for _ in range(300)]
+        self.assertEqual(len(addresses), len(set(addresses)))
+        for address in addresses:
+            self.assertFalse(address.startswith("127.0.0.1:"))
+
+
 if __name__ == "__main__":
     unittest.main()
