Log what a read of the store showed, and which rows are missing after an outage

`servers-read` comes only with rows, `server-missing` once for each server, so that a calm entry writes no more than before.

--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -123,6 +123,15 @@
         changes = read_server_rows(rows.rows)
         self._report_unreadable_rows(changes.failures)
         after_outage = now_s() - self._outage_ended_s < OUTAGE_S
+        if rows.rows:
+            self.log.bind(
+                rows=len(rows.rows),
+                removed=len(changes.removed_ids),
+                version=rows.version,
+                whole=is_full,
+                after_outage=after_outage,
+                ms=round((now_s() - started) * 1000),
+            ).info("servers-read")
         self.apply_servers(changes.records, changes.removed_ids, is_full, after_outage, "store")
         self.cluster.servers_read_s = started
         return True
@@ -139,6 +148,9 @@
                 self._apply_record(record, now, source)
             removed = [one for one in removed_ids if fleet.apply_removal(one, now, after_outage)]
         removed += fleet.evict_missing(now)
+        for server_id, server in fleet.server_by_id.items():
+            if server.missing_since_s == now:
+                self.log.bind(server=server_id, whole=is_full, source=source).info("server-missing")
         for server_id in removed:
             self.on_server_removed(server_id)
             self.log.bind(server=server_id, whole=is_full, source=source).info("server-gone")
