--- /dev/null
+++ b/test/test_gateway_leaving.py
@@ -0,0 +1,70 @@
+"""Backend servers that leave while entries are replaced, cut off or slow, in virtual time."""
+
+import unittest
+
+import eventlet
+
+from test.soak_leaving import play
+from test.virtual import run_virtual
+from test.virtual_gateway import VirtualFleet
+
+REGION_BY_PLACE = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+REGION_DELAY_S = 0.055
+# Time after which no entry may send requests to a server whose leaving the store has accepted.
+DRAIN_S = 2.5
+SOAK_SEEDS = range(1, 7)
+
+
+def run_fleet(test, entries_per_place=2, servers_per_place=4):
+    """Run a test with a `VirtualFleet` in virtual time."""
+
+    def run(hub):
+        fleet = VirtualFleet.from_places(
+            hub, REGION_BY_PLACE, REGION_DELAY_S, entries_per_place, servers_per_place
+        )
+        test(fleet)
+
+    run_virtual(run)
+
+
+class LeavingTest(unittest.TestCase):
+    def check_leaving(self, fleet, server_id, **kwargs):
+        """Remove a server and check that no entry may use it once the time is over."""
+        fleet.remove_server(server_id, **kwargs)
+        eventlet.sleep(DRAIN_S)
+        self.assertEqual(fleet.users_of(server_id), [])
+
+    def test_server_that_leaves_gets_no_requests_from_any_entry(self):
+        def test(fleet):
+            self.check_leaving(fleet, "a1-s0")
+            self.check_leaving(fleet, "b1-s0", drains_first=True)
+
+        run_fleet(test)
+
+    # A new reader kept the rows that it found removed as missing after an outage of the store that
+    # there had not been, and the other entries of its region went on using these servers.
+    def test_removal_right_after_a_change_of_reader_reaches_the_whole_region(self):
+        def test(fleet):
+            for number in range(12):
+                eventlet.sleep(5.0 + 0.37 * number)
+                reader = fleet.reader_of("b")
+                fleet.kill(reader)
+                eventlet.sleep(0.15 + 0.1 * number)
+                fleet.start_entry(reader, fleet.place_by_entry[reader])
+                with self.subTest(number=number):
+                    self.check_leaving(fleet, f"a1-s{number}")
+
+        run_fleet(test, entries_per_place=4, servers_per_place=12)
+
+
+class LeavingSoakTest(unittest.TestCase):
+    # Entries that were replaced, refused by the store or cut off from each other sent requests to
+    # servers that had left; the test guards against that in any mix of these.
+    def test_no_entry_uses_a_server_that_has_left(self):
+        for seed in SOAK_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed)[:5], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/test/virtual_gateway.py
@@ -0,0 +1,260 @@
+"""Gateway entries in virtual time, which learn of backend servers from a fake store and peers."""
+
+import json
+from urllib.parse import parse_qsl, urlsplit
+
+import eventlet
+from attrs import Factory, define, frozen
+from loguru import logger
+from result import Err, Ok
+
+from figfold.config.gateway_settings import GatewaySettings
+from figfold.config.section_settings import PeerSettings
+from figfold.core.codes import Code, Failure
+from figfold.gateway.process import GatewayProcess
+from figfold.platform.answers import Answer
+from figfold.platform.rows import RowStore
+from figfold.wire.codec import decode, encode
+from standins.rows import RowTables
+from test.virtual import VirtualHub
+
+SERVICE = "stock"
+OWN_PLACE_DELAY_S = 0.0005
+OWN_REGION_DELAY_S = 0.003
+SILENT_DELAY_S = 600.0  # A message that is cut off does not arrive within any timeout.
+
+
+@frozen
+class ServerLeaving:
+    """When the store accepted that a server leaves, or that it is gone."""
+
+    server_id: str
+    at_s: float
+
+
+@define
+class FakeStoreHttp:
+    """Calls of the store by one entry, with the delays and cuts of its links."""
+
+    fleet: object
+    entry: str
+
+    timeout_s = 1.0
+
+    def send(self, operation, method, path, body=None, headers=None, timeout_s=None):
+        """Send a call and return Ok(Answer), or a failure after the timeout."""
+        timeout_s = timeout_s or self.timeout_s
+        with eventlet.Timeout(timeout_s, False):
+            return self._call(path, body)
+        return Err(Failure(Code.STORE_TIMEOUT, f"{operation}: silent"))
+
+    def _call(self, path, body):
+        fleet = self.fleet
+        eventlet.sleep(fleet.store_delay_s(self.entry))
+        if fleet.refusal_by_entry.get(self.entry) == "busy":
+            return Err(Failure(Code.STORE_ERROR, "busy"))
+        url = urlsplit(path)
+        status, value = fleet.tables.answer(url.path, dict(parse_qsl(url.query)), body)
+        if status == 410:
+            return Err(Failure(Code.STORE_HISTORY_LOST, "gone"))
+        if status != 200:
+            return Err(Failure(Code.STORE_ERROR, f"status {status}"))
+        eventlet.sleep(fleet.store_delay_s(self.entry))
+        return Ok(Answer(status, {}, json.dumps(value).encode()))
+
+
+@define
+class FakePeerClient:
+    """Peer client of one entry, which calls the handler of the other entry directly."""
+
+    fleet: object
+    entry: str
+
+    def call(self, address, message, timeout_s):
+        """Deliver a message and return Ok(reply), or a failure after the timeout."""
+        with eventlet.Timeout(timeout_s, False):
+            return self._call(self.fleet.entry_by_ip[address.partition(":")[0]], message)
+        return Err(Failure(Code.PEER_TIMEOUT, "silent"))
+
+    def _call(self, other, message):
+        fleet = self.fleet
+        eventlet.sleep(fleet.peer_delay_s(self.entry, other))
+        process = fleet.process_by_entry.get(other)
+        if process is None:
+            return Err(Failure(Code.PEER_UNREACHABLE, "refused"))
+        gateway = fleet.gateway_by_entry[other]
+        received = decode(encode(message)).unwrap()
+        reply = fleet.hub.run_as(process, gateway.peers.handle, received)
+        if fleet.process_by_entry.get(other) != process:
+            return Err(Failure(Code.PEER_UNREACHABLE, "reset"))
+        eventlet.sleep(fleet.peer_delay_s(other, self.entry))
+        return Ok(decode(encode(reply)).unwrap())
+
+
+@define
+class VirtualFleet:
+    """Entries by name, the rows of the backend servers, and the faults between them.
+
+    Attributes
+    ----------
+    region_delay_s : float
+        One-way delay between regions.
+    extra_delay_by_entry : dict[str, float]
+        Added to the one-way delay of each message that an entry sends, in seconds.
+    refusal_by_entry : dict[str, str]
+        How the store treats an entry: ``busy`` (refused at once) or ``silent``.
+    isolated : set[str]
+        Entries whose messages to and from other entries do not arrive.
+    """
+
+    hub: VirtualHub
+    region_by_place: dict
+    region_delay_s: float
+    store_region: str = ""
+    tables: RowTables = Factory(RowTables)
+    place_by_entry: dict = Factory(dict)
+    entry_by_ip: dict = Factory(dict)
+    gateway_by_entry: dict = Factory(dict)
+    process_by_entry: dict = Factory(dict)
+    extra_delay_by_entry: dict = Factory(dict)
+    refusal_by_entry: dict = Factory(dict)
+    isolated: set = Factory(set)
+    leavings: list = Factory(list)
+    _starts: int = 0
+
+    @classmethod
+    def from_places(
+        cls, hub, region_by_place, region_delay_s, entries_per_place, servers_per_place
+    ):
+        """Return a fleet whose entries have started and know all servers."""
+        fleet = cls(hub, region_by_place, region_delay_s, next(iter(region_by_place.values())))
+        route = {
+            "kind": "safe",
+            "host": "h",
+            "prefix": "/a/",
+            "service": SERVICE,
+            "timeoutS": 2.0,
+        }
+        configuration = {"version": "r1", "routes": {"a": route}, "services": {SERVICE: {}}}
+        fleet.tables.put("op", "config", configuration)
+        for place in region_by_place:
+            for number in range(servers_per_place):
+                fleet.put_server(f"{place}-s{number}", place)
+        for place in region_by_place:
+            for number in range(entries_per_place):
+                fleet.start_entry(f"{place}-e{number}", place)
+        eventlet.sleep(6.0)
+        return fleet
+
+    # Entries.
+
+    def start_entry(self, name, place):
+        """Start the process of an entry."""
+        self._starts += 1
+        process = f"{name}/{self._starts}"
+        ip_by_entry = {one: ip for ip, one in self.entry_by_ip.items()}
+        ip = ip_by_entry.get(name, f"10.1.0.{len(ip_by_entry) + 1}")
+        self.entry_by_ip[ip] = name
+        settings = make_settings(name, place, ip, self.region_by_place)
+        self.place_by_entry[name] = place
+        self.process_by_entry[name] = process
+        self.hub.run_as(process, self._start, name, settings)
+
+    def _start(self, name, settings):
+        gateway = GatewayProcess.from_config(settings, logger.bind(entry=name), None)
+        http = FakeStoreHttp(self, name)
+        gateway.store_reader.store = RowStore(http, http, lambda code, operation: None)
+        gateway.peers.client = gateway.store_sync.client = FakePeerClient(self, name)
+        self.gateway_by_entry[name] = gateway
+        gateway.store_sync.start()
+        eventlet.spawn_n(gateway._register)
+        gateway._start_loop("peers", settings.peers.interval_s, gateway.peers.start_round)
+
+    def kill(self, name):
+        """End the process of an entry at once."""
+        self.hub.killed.add(self.process_by_entry.pop(name))
+
+    def is_usable(self, entry, server_id):
+        """Return whether the entry may send a request to the server now."""
+        fleet = self.gateway_by_entry[entry].cluster.fleet
+        ids = {server.record.id for server in fleet.usable_servers(SERVICE)}
+        return server_id in ids and fleet.accepts_requests(server_id)
+
+    def users_of(self, server_id):
+        """Return the running entries that may send requests to a server now."""
+        return [one for one in self.process_by_entry if self.is_usable(one, server_id)]
+
+    def reader_of(self, region):
+        """Return the entry that reads the store for a region."""
+        entries = sorted(
+            one
+            for one in self.process_by_entry
+            if self.region_by_place[self.place_by_entry[one]] == region
+        )
+        return entries[0]
+
+    # Delays.
+
+    def store_delay_s(self, entry):
+        """Return the one-way delay between an entry and the store, in seconds."""
+        if self.refusal_by_entry.get(entry) == "silent":
+            return SILENT_DELAY_S
+        region = self.region_by_place[self.place_by_entry[entry]]
+        delay_s = OWN_REGION_DELAY_S if region == self.store_region else self.region_delay_s
+        return delay_s + self.extra_delay_by_entry.get(entry, 0.0)
+
+    def peer_delay_s(self, sender, receiver):
+        """Return the delay of a message between two entries, in seconds."""
+        if sender in self.isolated or receiver in self.isolated:
+            return SILENT_DELAY_S
+        places = self.place_by_entry[sender], self.place_by_entry[receiver]
+        regions = {self.region_by_place[place] for place in places}
+        delay_s = OWN_PLACE_DELAY_S if len(set(places)) == 1 else OWN_REGION_DELAY_S
+        if len(regions) > 1:
+            delay_s = self.region_delay_s
+        return delay_s + self.extra_delay_by_entry.get(sender, 0.0)
+
+    # Backend servers.
+
+    def put_server(self, server_id, place, state="ready"):
+        """Write the row of a server, whose heartbeats are one second apart."""
+        value = {
+            "info": {"service": SERVICE, "zone": place, "slots": 3, "version": "1"},
+            "status": {"state": state, "sequence": int(self.hub.now), "coldRemainingS": 0},
+            "address": "10.0.0.1:80",
+            "born": 1,
+        }
+        self.tables.put("servers", server_id, value)
+
+    def remove_server(self, server_id, drains_first=False):
+        """Remove the row of a server that leaves, or mark it as draining."""
+        if drains_first:
+            self.put_server(server_id, server_id.rpartition("-")[0], "draining")
+        else:
+            self.tables.remove("servers", server_id)
+        self.leavings.append(ServerLeaving(server_id, self.hub.now))
+
+
+def make_settings(name, place, ip, region_by_place):
+    """Return the settings of an entry, with the packaged defaults."""
+    return GatewaySettings(
+        name=name,
+        place=place,
+        caller_address=f"{ip}:1",
+        ready_address=f"{ip}:2",
+        lookup_address=f"{ip}:3",
+        peer_address=f"{ip}:4",
+        metrics_address=f"{ip}:5",
+        store_address="127.0.0.1:1",
+        store_timeout_s=1.0,
+        server_read_interval_s=1.0,
+        configuration_wait_s=3.0,
+        stop_grace_s=6.0,
+        lookup_ttl_s=2.0,
+        retry_ratio=0.2,
+        retry_window_s=10.0,
+        retry_slack=60.0,
+        region_by_place=region_by_place,
+        peers=PeerSettings(1.0, 3, 3.0, 1.0, ("127.0.0.0/8",)),
+        log=None,
+    )
