Take only failed calls of the store for an outage, not the time without calls

What callers saw: for seconds after the entry that reads the store for a region had been replaced, requests of that region reached servers that had left. Cause: an outage was recognised by the time since the last successful call of this entry. An entry that gets the rows from a peer makes no calls, so that each new reader believed in an outage of 17 s or more, kept the rows that it found removed as missing for 2.2 s and told its region nothing. Outages are now seen by failed calls that follow one another.

--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -9,14 +9,13 @@
 
 from figfold.core.codes import Code
 from figfold.core.confirmation import StoreHealth
+from figfold.core.traffic.outage import OutageTracker
 from figfold.entry.clock import now_s
 from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE
 from figfold.platform.tables import read_entry_rows, read_operator_rows, read_server_rows
 
 RETRY_PAUSE_S = 0.2  # Grows by half with each failed call of the store.
 MAX_RETRY_PAUSE_S = 0.4
-# Outage of the store after which the rows of live servers may have expired.
-OUTAGE_S = 1.5
 # Longest wait for a change of the configuration that a peer has announced.
 PEER_CHANGE_WAIT_S = 0.3
 MAX_REPORTED_FAILURES = 100  # Unreadable rows that are remembered as logged.
@@ -45,8 +44,7 @@
     health: StoreHealth = field(factory=StoreHealth)
     operator_version: int | None = None
     server_version: int | None = None
-    last_read_s: float = float("-inf")
-    _outage_ended_s: float = float("-inf")
+    outage: OutageTracker = field(factory=OutageTracker)
     _retry_pause_s: float = RETRY_PAUSE_S
     _reported_messages: set = field(factory=set)
 
@@ -62,7 +60,7 @@
             wait_s = self.settings.configuration_wait_s
             read = self.store.read_changes(OPERATOR_TABLE, self.operator_version, wait_s)
         if read.is_err():
-            return self._record_failure(read.err(), "operator_version")
+            return self._record_failure(read.err(), "operator_version", started)
         self._record_success(started)
         rows = read.ok()
         self.operator_version = rows.version
@@ -115,14 +113,14 @@
         else:
             read = self.store.read_changes(SERVER_TABLE, self.server_version, 0.0)
         if read.is_err():
-            self._record_failure(read.err(), "server_version")
+            self._record_failure(read.err(), "server_version", started)
             return False
         self._record_success(started)
         rows = read.ok()
         self.server_version = rows.version
         changes = read_server_rows(rows.rows)
         self._report_unreadable_rows(changes.failures)
-        after_outage = now_s() - self._outage_ended_s < OUTAGE_S
+        after_outage = self.outage.has_just_ended(now_s())
         if rows.rows:
             self.log.bind(
                 rows=len(rows.rows),
@@ -182,18 +180,17 @@
 
     def _record_success(self, started):
         now = now_s()
-        if now - self.last_read_s > OUTAGE_S and self.last_read_s > float("-inf"):
-            self._outage_ended_s = now
-        self.last_read_s = now
+        self.outage.record_success(now)
         self._retry_pause_s = RETRY_PAUSE_S
         if self.health.record_success(now):
             self.log.bind(ms=round((now - started) * 1000)).info("store-reachable")
 
-    def _record_failure(self, failure, version_name):
+    def _record_failure(self, failure, version_name, started):
         if failure.code is Code.STORE_HISTORY_LOST:
             self.log.bind(reader=version_name).info("store-history-lost")
             setattr(self, version_name, None)
             return 0.0
+        self.outage.record_failure(started, now_s())
         if self.health.record_failure(now_s()):
             self.log.bind(code=int(failure.code), why=failure.message).warning("store-lost")
         self._retry_pause_s = min(MAX_RETRY_PAUSE_S, 1.5 * self._retry_pause_s)
