Order what is known of servers and evacuations by the store's versions, not by clocks

The age leaves out the time on the way and 0.3 s were allowed for it; a removed row that is only missing had no order at all, and an evacuation was replaced by whatever the last reply said. Class: order by clocks of what has an order of its own. Each record now bears the version of its row, each reply the version as of which it is complete. A removal is remembered with its version, and only a later row restores the server. The sequence of heartbeats is no longer needed for the order; it is still checked when a row is decoded.

--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -10,9 +10,6 @@
 REREGISTRATION_GRACE_S = 2.2
 # Removals that are remembered for peers that ask for changes.
 MAX_REMEMBERED_REMOVALS = 500
-# A peer's data count as later than a removal only if they are newer by more than the transit time
-# of a message, which their stated age does not include.
-PEER_MESSAGE_DELAY_S = 0.3
 # A remaining cold time in the store may have been written one heartbeat and one read earlier.
 COLD_REPORT_DELAY_S = 3.0
 
@@ -25,8 +22,8 @@
     ----------
     cold_remaining_s : float
         Remaining time of its cold start when the row was written.
-    sequence : int
-        Number of heartbeats since its start.
+    row_version : int
+        Version of the store in which the row was written; a later row of the same id replaces it.
     started_ms : int
         Unix time of its start in milliseconds; a different value means a different process.
     """
@@ -37,7 +34,7 @@
     place: str
     slots: int
     is_leaving: bool = False
-    sequence: int = 0
+    row_version: int = 0
     cold_remaining_s: float = 0.0
     started_ms: int = 0
     software_version: str = ""
@@ -82,6 +79,10 @@
         Whether the records are those of all servers.
     records : tuple[ServerRecord, ...]
         Records whose remaining cold time is as of now.
+    store_version : int
+        Version of the store as of which the records are complete and the others are removed.
+    evacuations_version : int
+        Version of the store as of which the evacuated places are known.
     """
 
     generation: int
@@ -89,14 +90,23 @@
     records: tuple[ServerRecord, ...]
     removed_ids: tuple[str, ...]
     evacuated_places: frozenset
+    store_version: int = 0
+    evacuations_version: int = 0
 
 
 @define
 class Fleet:
     """Registered servers by id, and the data centres that are being evacuated.
 
+    The rows reach an entry from the store and from several peers, with different delays. What is
+    known of a server is therefore ordered by the versions of the store and never by clocks.
+
     Attributes
     ----------
+    store_version : int
+        Latest version of the store as of which all servers are known.
+    evacuations_version : int
+        Latest version of the store as of which the evacuated places are known.
     is_loaded : bool
         Whether a full snapshot of the servers has been applied.
     generation : int
@@ -107,35 +117,38 @@
     evacuated_places: frozenset = frozenset()
     is_loaded: bool = False
     generation: int = 0
+    store_version: int = 0
+    evacuations_version: int = 0
     _removals: deque = Factory(lambda: deque(maxlen=MAX_REMEMBERED_REMOVALS))
-    _removed_s_by_id: dict[str, float] = Factory(dict)
+    _removal_version_by_id: dict[str, int] = Factory(dict)
 
     def apply_record(self, record, now_s):
-        """Add or update a server; return whether anything but its heartbeat changed."""
+        """Add or update a server; return whether more than its row version changed."""
+        if record.row_version <= self._removal_version_by_id.get(record.id, -1):
+            return False
         known = self.server_by_id.get(record.id)
+        if known is not None and record.row_version < known.record.row_version:
+            return False
         if known is None or known.record.started_ms != record.started_ms:
             self.generation += 1
             server = FleetServer(record, now_s, self.generation)
             self.server_by_id[record.id] = server
             self._extend_cold_time(server, now_s)
             return True
-        if record.sequence < known.record.sequence:
-            # An older record of the same process, from a read that finished out of order.
-            return False
         before = known.record
         was_missing = known.missing_since_s is not None
         known.record = record
         known.last_seen_s = now_s
         known.missing_since_s = None
         is_colder = self._extend_cold_time(known, now_s)
-        if was_missing or is_colder or _without_heartbeat(before) != _without_heartbeat(record):
+        if was_missing or is_colder or _without_version(before) != _without_version(record):
             self.generation += 1
             known.changed_generation = self.generation
             return True
         return False
 
-    def apply_snapshot(self, records, now_s, after_outage):
-        """Replace all servers by those of a full read; return the ids that were removed.
+    def apply_snapshot(self, records, now_s, after_outage, store_version):
+        """Apply all servers as of a version of the store; return the ids that were removed.
 
         Parameters
         ----------
@@ -144,6 +157,7 @@
         after_outage : bool
             Whether the store has just come back from an outage, so that the rows of live servers
             may be missing.
+        store_version : int
         """
         ids = set()
         for record in records:
@@ -151,38 +165,47 @@
             self.apply_record(record, now_s)
         self.is_loaded = True
         missing = [one for one in self.server_by_id if one not in ids]
-        return [one for one in missing if self.apply_removal(one, now_s, after_outage)]
+        removed = [
+            one for one in missing if self.apply_removal(one, now_s, after_outage, store_version)
+        ]
+        self.store_version = max(self.store_version, store_version)
+        return removed
+
+    def apply_changes(self, records, removed_ids, now_s, after_outage, store_version):
+        """Apply the changes up to a version of the store.
+
+        Returns
+        -------
+        tuple[list[ServerRecord], list[str]]
+            Records that changed more than a heartbeat, and ids of servers that were removed.
+        """
+        changed = [one for one in records if self.apply_record(one, now_s)]
+        removed = [
+            one
+            for one in removed_ids
+            if self.apply_removal(one, now_s, after_outage, store_version)
+        ]
+        self.store_version = max(self.store_version, store_version)
+        return changed, removed
 
-    def apply_removal(self, server_id, now_s, after_outage):
-        """Handle the missing row of a server; return whether the server was removed.
+    def apply_removal(self, server_id, now_s, after_outage, store_version):
+        """Handle a row that does not exist in a version; return whether the server was removed.
 
         After an outage of the store, a server that was not leaving is only marked as missing.
         """
         server = self.server_by_id.get(server_id)
+        if server is not None and store_version < server.record.row_version:
+            return False
+        self._remember_removal(server_id, store_version)
         if server is None:
             return False
         if after_outage and not server.record.is_leaving:
             if server.missing_since_s is None:
                 server.missing_since_s = now_s
             return False
-        self._remove(server_id, now_s)
+        self._remove(server_id)
         return True
 
-    def contradicts_removal(self, record, read_s):
-        """Return whether a peer's record would restore a server that was removed after the read.
-
-        Parameters
-        ----------
-        record : ServerRecord
-            Record that a peer has sent.
-        read_s : float
-            When the peer's data were read from the store.
-        """
-        removed_s = self._removed_s_by_id.get(record.id)
-        if record.id in self.server_by_id or removed_s is None:
-            return False
-        return read_s <= removed_s + PEER_MESSAGE_DELAY_S
-
     def evict_missing(self, now_s):
         """Remove the servers still missing after the grace time; return their ids."""
         expired = [
@@ -192,11 +215,17 @@
             and now_s - server.missing_since_s >= REREGISTRATION_GRACE_S
         ]
         for one in expired:
-            self._remove(one, now_s)
+            self._remove(one)
         return expired
 
-    def set_evacuated(self, places, now_s):
-        """Set the data centres that must get no requests; return whether they changed."""
+    def set_evacuated(self, places, now_s, store_version):
+        """Set the data centres that get no requests as of a version; return whether they changed.
+
+        An earlier version than the known one changes nothing.
+        """
+        if store_version < self.evacuations_version:
+            return False
+        self.evacuations_version = store_version
         places = frozenset(places)
         if places == self.evacuated_places:
             return False
@@ -269,14 +298,18 @@
             tuple(_with_remaining_cold_time(server, now_s) for server in servers),
             () if is_snapshot else tuple(sorted(removed - set(self.server_by_id))),
             self.evacuated_places,
+            self.store_version,
+            self.evacuations_version,
         )
 
-    def _remove(self, server_id, now_s):
+    def _remember_removal(self, server_id, store_version):
+        known_version = self._removal_version_by_id.pop(server_id, store_version)
+        self._removal_version_by_id[server_id] = max(known_version, store_version)
+        if len(self._removal_version_by_id) > MAX_REMEMBERED_REMOVALS:
+            del self._removal_version_by_id[next(iter(self._removal_version_by_id))]
+
+    def _remove(self, server_id):
         del self.server_by_id[server_id]
-        self._removed_s_by_id.pop(server_id, None)
-        self._removed_s_by_id[server_id] = now_s
-        if len(self._removed_s_by_id) > MAX_REMEMBERED_REMOVALS:
-            del self._removed_s_by_id[next(iter(self._removed_s_by_id))]
         self.generation += 1
         self._removals.append((self.generation, server_id))
 
@@ -290,8 +323,8 @@
         return is_colder
 
 
-def _without_heartbeat(record):
-    return evolve(record, sequence=0, cold_remaining_s=0.0)
+def _without_version(record):
+    return evolve(record, row_version=0, cold_remaining_s=0.0)
 
 
 def _with_remaining_cold_time(server, now_s):
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -64,7 +64,7 @@
         self._record_success(started)
         rows = read.ok()
         self.operator_version = rows.version
-        self._apply_operator_rows(read_operator_rows(rows.rows), is_full)
+        self._apply_operator_rows(read_operator_rows(rows.rows), is_full, rows.version)
         self.cluster.operator_read_s = now_s()
         if self.cluster.configuration is not None:
             self.on_confirmed(self.cluster.configuration.version, started)
@@ -77,10 +77,10 @@
         if read.is_err():
             return
         self._record_success(started)
-        self._apply_operator_rows(read_operator_rows(read.ok().rows), True)
+        self._apply_operator_rows(read_operator_rows(read.ok().rows), True, read.ok().version)
         self.cluster.operator_read_s = started
 
-    def _apply_operator_rows(self, changes, is_full):
+    def _apply_operator_rows(self, changes, is_full, store_version):
         self._report_unreadable_rows(changes.failures)
         if changes.configuration is not None:
             self.cluster.apply_configuration(
@@ -90,13 +90,15 @@
         restored = {place for place, is_on in changes.evacuation_by_place.items() if not is_on}
         fleet = self.cluster.fleet
         self.apply_evacuations(
-            evacuated if is_full else (fleet.evacuated_places - restored) | evacuated, "store"
+            evacuated if is_full else (fleet.evacuated_places - restored) | evacuated,
+            store_version,
+            "store",
         )
 
-    def apply_evacuations(self, places, source):
-        """Set the data centres that are being evacuated."""
+    def apply_evacuations(self, places, store_version, source):
+        """Set the data centres that are being evacuated as of a version of the store."""
         before = self.cluster.fleet.evacuated_places
-        if self.cluster.fleet.set_evacuated(places, now_s()):
+        if self.cluster.fleet.set_evacuated(places, now_s(), store_version):
             self.log.bind(before=sorted(before), now=sorted(places), source=source).info(
                 "evacuations-changed"
             )
@@ -130,21 +132,37 @@
                 after_outage=after_outage,
                 ms=round((now_s() - started) * 1000),
             ).info("servers-read")
-        self.apply_servers(changes.records, changes.removed_ids, is_full, after_outage, "store")
+        self.apply_servers(
+            changes.records, changes.removed_ids, is_full, after_outage, rows.version, "store"
+        )
         self.cluster.servers_read_s = started
         return True
 
-    def apply_servers(self, records, removed_ids, is_full, after_outage, source):
-        """Apply the servers that the store or a peer has sent to the fleet."""
+    def apply_servers(self, records, removed_ids, is_full, after_outage, store_version, source):
+        """Apply the servers that the store or a peer has sent to the fleet.
+
+        Parameters
+        ----------
+        is_full : bool
+            Whether the records are those of all servers.
+        store_version : int
+            Version of the store up to which the records are complete.
+        source : str
+            ``store`` or the name of a peer, for the log.
+        """
         fleet = self.cluster.fleet
         now = now_s()
         generation = fleet.generation
         if is_full:
-            removed = fleet.apply_snapshot(records, now, after_outage and fleet.is_loaded)
+            removed = fleet.apply_snapshot(
+                records, now, after_outage and fleet.is_loaded, store_version
+            )
         else:
-            for record in records:
-                self._apply_record(record, now, source)
-            removed = [one for one in removed_ids if fleet.apply_removal(one, now, after_outage)]
+            changed, removed = fleet.apply_changes(
+                records, removed_ids, now, after_outage, store_version
+            )
+            for record in changed:
+                self._log_changed(record, source)
         removed += fleet.evict_missing(now)
         for server_id, server in fleet.server_by_id.items():
             if server.missing_since_s == now:
@@ -155,16 +173,16 @@
         if fleet.generation != generation:
             self.cluster.notify_change()
 
-    def _apply_record(self, record, now, source):
-        if self.cluster.fleet.apply_record(record, now):
-            self.log.bind(
-                server=record.id,
-                service=record.service,
-                place=record.place,
-                leaving=record.is_leaving,
-                cold_s=round(record.cold_remaining_s, 2),
-                source=source,
-            ).info("server-changed")
+    def _log_changed(self, record, source):
+        self.log.bind(
+            server=record.id,
+            service=record.service,
+            place=record.place,
+            leaving=record.is_leaving,
+            cold_s=round(record.cold_remaining_s, 2),
+            row_version=record.row_version,
+            source=source,
+        ).info("server-changed")
 
     # Rows of the entries.
 
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -4,7 +4,6 @@
 from attrs import define, field
 from eventlet import Timeout
 
-from figfold.core.traffic.fleet import PEER_MESSAGE_DELAY_S
 from figfold.core.traffic.sync_source import MAX_SOURCE_AGE_S, SyncSourceSelector
 from figfold.entry.clock import now_s
 from figfold.platform.tables import decode_configuration_text
@@ -167,10 +166,6 @@
             self._skip_source(name, "stale", round(reply.age_s, 2))
             return False
         read_s = now_s() - reply.age_s
-        if read_s < self.cluster.servers_read_s - PEER_MESSAGE_DELAY_S:
-            # This entry's data were read later, and must not be replaced by older ones.
-            self._skip_source(name, "older", round(reply.age_s, 2))
-            return False
         self._generation_by_source[name] = (reply.incarnation, reply.fleet_changes.generation)
         if reply.configuration:
             read = decode_configuration_text(reply.configuration)
@@ -178,17 +173,17 @@
                 self.cluster.apply_configuration(read.ok(), reply.configuration, name)
             else:
                 self.metrics.count_code(read.err().code)
-        self.store_reader.apply_evacuations(reply.fleet_changes.evacuated_places, name)
-        fleet_changes = reply.fleet_changes
-        fleet = self.cluster.fleet
-        records = [
-            one for one in fleet_changes.records if not fleet.contradicts_removal(one, read_s)
-        ]
-        if len(records) < len(fleet_changes.records):
-            # The servers may have registered again; then the next snapshot includes them.
-            self._generation_by_source.pop(name, None)
+        changes = reply.fleet_changes
+        self.store_reader.apply_evacuations(
+            changes.evacuated_places, changes.evacuations_version, name
+        )
         self.store_reader.apply_servers(
-            records, fleet_changes.removed_ids, fleet_changes.is_snapshot, False, name
+            changes.records,
+            changes.removed_ids,
+            changes.is_snapshot,
+            False,
+            changes.store_version,
+            name,
         )
         self.cluster.servers_read_s = max(self.cluster.servers_read_s, read_s)
         self.cluster.operator_read_s = max(self.cluster.operator_read_s, read_s)
--- a/figfold/platform/decoding.py
+++ b/figfold/platform/decoding.py
@@ -105,19 +105,22 @@
         return Err(Failure(Code.STORE_BAD_ANSWER, message, REMEDY))
 
 
-def decode_server(server_id, value, known_services=None):
+def decode_server(server_id, value, known_services=None, row_version=0):
     """Return Ok(ServerRecord) from the value of a backend server's row.
 
     Parameters
     ----------
     known_services : collection of str or None
         Services that exist; a row with another one is invalid. None admits any.
+    row_version : int
+        Version of the store in which the row was written.
     """
     try:
         info, status = _object(value, "info"), _object(value, "status")
         state = _text(status, "state")
         if state not in (READY, DRAINING):
             raise FieldError(f"unknown state {state[:40]!r}")
+        _integer(status, "sequence", 0)
         service = _text(info, "service")
         if known_services is not None and service not in known_services:
             raise FieldError(f"unknown service {service[:40]!r}")
@@ -128,7 +131,7 @@
             place=_text(info, "zone"),
             slots=_integer(info, "slots", 1),
             is_leaving=state == DRAINING,
-            sequence=_integer(status, "sequence", 0),
+            row_version=row_version,
             cold_remaining_s=_number(status, "coldRemainingS", 0.0),
             started_ms=_integer(value, "born", 0) if "born" in value else 0,
             software_version=_text(info, "version"),
--- a/figfold/platform/tables.py
+++ b/figfold/platform/tables.py
@@ -85,7 +85,11 @@
     """
     record_by_id, removed, failures = {}, {}, []
     for row in rows:
-        read = None if row.is_removed else decode_server(row.key, row.value, known_services)
+        read = (
+            None
+            if row.is_removed
+            else decode_server(row.key, row.value, known_services, row.version)
+        )
         if read is None or read.is_err():
             record_by_id.pop(row.key, None)
             removed[row.key] = True
--- a/figfold/wire/knowledge_codec.py
+++ b/figfold/wire/knowledge_codec.py
@@ -36,6 +36,8 @@
     body.removed = list(fleet_changes.removed_ids)
     body.evacuated = sorted(fleet_changes.evacuated_places)
     body.ageS = message.age_s
+    body.storeVersion = fleet_changes.store_version
+    body.evacuationsVersion = fleet_changes.evacuations_version
     for item, record in zip(
         body.init("servers", len(fleet_changes.records)), fleet_changes.records, strict=True
     ):
@@ -45,7 +47,7 @@
         item.place = record.place
         item.slots = record.slots
         item.leaving = record.is_leaving
-        item.sequence = record.sequence
+        item.rowVersion = record.row_version
         item.coldRemainingS = record.cold_remaining_s
         item.bornMs = record.started_ms
 
@@ -60,6 +62,8 @@
         evacuated_places=frozenset(
             convert_items(body.evacuated, MAX_PLACES, require_name, "evacuated")
         ),
+        store_version=body.storeVersion,
+        evacuations_version=body.evacuationsVersion,
     )
     age_s = require_duration(body.ageS, "ageS")
     return KnowledgeReply(bytes(body.configuration), fleet_changes, body.incarnation, age_s)
@@ -73,7 +77,7 @@
         place=require_name(item.place, "place"),
         slots=item.slots,
         is_leaving=item.leaving,
-        sequence=item.sequence,
+        row_version=item.rowVersion,
         cold_remaining_s=require_duration(item.coldRemainingS, "coldRemainingS"),
         started_ms=item.bornMs,
     )
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -89,9 +89,10 @@
   place @3 :Text;
   slots @4 :UInt16;
   leaving @5 :Bool;
-  sequence @6 :UInt64;
+  unused6 @6 :UInt64;
   coldRemainingS @7 :Float64;
   bornMs @8 :UInt64;
+  rowVersion @9 :UInt64;
 }
 
 # Request for the rows of the store that have changed since a generation of the receiver's.
@@ -111,6 +112,8 @@
   removed @5 :List(Text);
   evacuated @6 :List(Text);
   ageS @7 :Float64;
+  storeVersion @8 :UInt64;
+  evacuationsVersion @9 :UInt64;
 }
 
 struct PeerMessage {
--- a/test/test_gateway_knowledge.py
+++ b/test/test_gateway_knowledge.py
@@ -30,38 +30,47 @@
             None, self.cluster, store_reader, None, Metrics(), logger, 1, source_selector
         )
 
-    def apply(self, name, ids, age_s, is_snapshot=True):
-        records = tuple(make_record(one, sequence=9) for one in ids)
-        update = FleetUpdate(5, is_snapshot, records, (), frozenset())
+    def apply(self, name, ids, age_s, store_version, is_snapshot=True):
+        records = tuple(make_record(one, row_version=version) for one, version in ids.items())
+        update = FleetUpdate(5, is_snapshot, records, (), frozenset(), store_version)
         return self.store_sync._apply_reply(name, KnowledgeReply(b"", update, 1, age_s))
 
     def ids(self):
         return set(self.cluster.fleet.server_by_id)
 
     def test_later_data_are_applied(self):
-        self.assertTrue(self.apply("e1", ["s0", "s1"], 0.5))
+        self.assertTrue(self.apply("e1", {"s0": 1, "s1": 2}, 0.5, store_version=2))
         self.now_s += 1.0
-        self.assertTrue(self.apply("e1", ["s0"], 0.5))
+        self.assertTrue(self.apply("e1", {"s0": 1}, 0.5, store_version=3))
         self.assertEqual(self.ids(), {"s0"})
 
     def test_removed_server_is_not_restored_by_a_peer_that_is_cut_off(self):
-        self.apply("e1", ["s0", "s1"], 0.5)
+        self.apply("e1", {"s0": 1, "s1": 2}, 0.5, store_version=2)
         self.now_s += 2.0
-        self.apply("e1", ["s0"], 0.1)
+        self.apply("e1", {"s0": 1}, 0.1, store_version=3)
         self.now_s += 0.5
-        self.assertFalse(self.apply("e3", ["s0", "s1"], 1.4))
+        self.apply("e3", {"s0": 1, "s1": 2}, 1.4, store_version=2)
+        self.assertEqual(self.ids(), {"s0"})
+
+    # A reply that was long on its way seemed to be later than the removal that it did not contain.
+    def test_removed_server_is_not_restored_by_a_reply_that_was_long_on_its_way(self):
+        self.apply("e1", {"s0": 1, "s1": 2}, 0.5, store_version=2)
+        self.now_s += 2.0
+        self.apply("e1", {"s0": 1}, 0.1, store_version=3)
+        self.now_s += 0.9
+        self.apply("e3", {"s0": 1, "s1": 2}, 0.2, store_version=2)
         self.assertEqual(self.ids(), {"s0"})
 
     def test_server_that_registered_again_is_taken_from_later_data(self):
-        self.apply("e1", ["s0", "s1"], 0.5)
+        self.apply("e1", {"s0": 1, "s1": 2}, 0.5, store_version=2)
         self.now_s += 2.0
-        self.apply("e1", ["s0"], 0.1)
+        self.apply("e1", {"s0": 1}, 0.1, store_version=3)
         self.now_s += 2.0
-        self.apply("e1", ["s0", "s1"], 0.1, is_snapshot=False)
+        self.apply("e1", {"s0": 1, "s1": 4}, 0.1, store_version=4, is_snapshot=False)
         self.assertEqual(self.ids(), {"s0", "s1"})
 
     def test_stale_data_are_rejected(self):
-        self.assertFalse(self.apply("e1", ["s0"], 5.0))
+        self.assertFalse(self.apply("e1", {"s0": 1}, 5.0, store_version=1))
         self.assertEqual(self.ids(), set())
 
 
--- a/test/test_traffic_fleet.py
+++ b/test/test_traffic_fleet.py
@@ -11,14 +11,14 @@
 
 def make_record(server_id, **changes):
     record = ServerRecord(
-        server_id, "stock", "10.0.0.1:80", "bne-north", 3, started_ms=1, sequence=1
+        server_id, "stock", "10.0.0.1:80", "bne-north", 3, started_ms=1, row_version=1
     )
     return evolve(record, **changes)
 
 
 def make_fleet(count=4, now_s=0.0):
     fleet = Fleet()
-    fleet.apply_snapshot([make_record(f"s{i}") for i in range(count)], now_s, False)
+    fleet.apply_snapshot([make_record(f"s{i}") for i in range(count)], now_s, False, 1)
     return fleet
 
 
@@ -29,26 +29,28 @@
 class LeavingTest(unittest.TestCase):
     def test_leaving_server_accepts_no_requests(self):
         fleet = make_fleet()
-        fleet.apply_record(make_record("s0", is_leaving=True, sequence=2), 1.0)
+        fleet.apply_record(make_record("s0", is_leaving=True, row_version=2), 1.0)
         self.assertNotIn("s0", usable_ids(fleet))
         self.assertFalse(fleet.accepts_requests("s0"))
 
-    def test_older_record_of_a_leaving_process_is_ignored(self):
+    def test_older_row_of_a_leaving_process_is_ignored(self):
         fleet = make_fleet()
-        fleet.apply_record(make_record("s0", is_leaving=True, sequence=5), 1.0)
-        fleet.apply_record(make_record("s0", sequence=4), 1.1)
+        fleet.apply_record(make_record("s0", is_leaving=True, row_version=5), 1.0)
+        fleet.apply_record(make_record("s0", row_version=4), 1.1)
         self.assertFalse(fleet.accepts_requests("s0"))
 
     def test_new_process_under_the_same_id_replaces_the_leaving_one(self):
         fleet = make_fleet()
-        fleet.apply_record(make_record("s0", is_leaving=True, sequence=5), 1.0)
-        fleet.apply_record(make_record("s0", started_ms=2, sequence=0, cold_remaining_s=3.0), 2.0)
+        fleet.apply_record(make_record("s0", is_leaving=True, row_version=5), 1.0)
+        fleet.apply_record(
+            make_record("s0", started_ms=2, row_version=6, cold_remaining_s=3.0), 2.0
+        )
         self.assertTrue(fleet.accepts_requests("s0"))
         self.assertTrue(fleet.server_by_id["s0"].is_cold(4.9))
 
     def test_server_is_removed_at_once_without_an_outage(self):
         fleet = make_fleet()
-        self.assertTrue(fleet.apply_removal("s1", 1.0, after_outage=False))
+        self.assertTrue(fleet.apply_removal("s1", 1.0, after_outage=False, store_version=2))
         self.assertFalse(fleet.accepts_requests("s1"))
 
 
@@ -56,47 +58,86 @@
     def test_missing_server_is_not_used_when_most_others_are_present(self):
         """The server may have left while this entry could not reach the store."""
         fleet = make_fleet()
-        present = [make_record(f"s{i}", sequence=9) for i in range(3)]
-        fleet.apply_snapshot(present, 20.0, after_outage=True)
+        present = [make_record(f"s{i}", row_version=9) for i in range(3)]
+        fleet.apply_snapshot(present, 20.0, after_outage=True, store_version=9)
         self.assertEqual(usable_ids(fleet), {"s0", "s1", "s2"})
 
     def test_expired_servers_are_used_until_the_grace_time_ends(self):
         """Most rows expired during an outage of the store; live servers register again in 2 s."""
         fleet = make_fleet()
-        fleet.apply_snapshot([make_record("s0", sequence=9)], 20.0, after_outage=True)
+        fleet.apply_snapshot(
+            [make_record("s0", row_version=9)], 20.0, after_outage=True, store_version=9
+        )
         self.assertEqual(len(usable_ids(fleet)), 4)
         self.assertEqual(len(fleet.evict_missing(20.1 + REREGISTRATION_GRACE_S)), 3)
         self.assertEqual(usable_ids(fleet), {"s0"})
 
     def test_leaving_server_that_is_missing_is_removed_at_once(self):
         fleet = make_fleet()
-        fleet.apply_record(make_record("s0", is_leaving=True, sequence=2), 1.0)
-        self.assertEqual(fleet.apply_snapshot([], 20.0, after_outage=True), ["s0"])
+        fleet.apply_record(make_record("s0", is_leaving=True, row_version=2), 1.0)
+        self.assertEqual(fleet.apply_snapshot([], 20.0, after_outage=True, store_version=9), ["s0"])
 
 
 class OutdatedPeerTest(unittest.TestCase):
-    def test_record_read_before_a_removal_contradicts_it(self):
-        """A peer that is cut off from the store still lists the removed server."""
+    """Rows of a peer that is cut off from the store, or whose reply was long on its way."""
+
+    # Data of a peer that seemed to be later by the clock brought back servers that had left.
+    def test_row_written_before_a_removal_does_not_restore_the_server(self):
+        fleet = make_fleet()
+        fleet.apply_removal("s0", 5.0, False, 7)
+        for row_version in (1, 6, 7):
+            self.assertFalse(fleet.apply_record(make_record("s0", row_version=row_version), 60.0))
+        self.assertNotIn("s0", usable_ids(fleet))
+
+    def test_row_written_after_a_removal_restores_the_server(self):
+        fleet = make_fleet()
+        fleet.apply_removal("s0", 5.0, False, 7)
+        self.assertTrue(fleet.apply_record(make_record("s0", row_version=8), 5.0))
+        self.assertIn("s0", usable_ids(fleet))
+
+    def test_row_written_before_it_was_missing_does_not_restore_the_server(self):
+        fleet = make_fleet()
+        fleet.apply_removal("s0", 5.0, True, 7)
+        fleet.apply_record(make_record("s0"), 5.1)
+        self.assertNotIn("s0", usable_ids(fleet))
+
+    def test_earlier_snapshot_removes_no_server_that_registered_later(self):
+        fleet = make_fleet()
+        fleet.apply_record(make_record("new", row_version=8), 1.0)
+        self.assertEqual(fleet.apply_snapshot([], 2.0, False, 7), [f"s{i}" for i in range(4)])
+        self.assertEqual(usable_ids(fleet), {"new"})
+        self.assertEqual(fleet.store_version, 7)
+
+    def test_earlier_removal_does_not_remove_a_server_that_registered_again(self):
+        fleet = make_fleet()
+        fleet.apply_record(make_record("s0", started_ms=2, row_version=8), 1.0)
+        self.assertFalse(fleet.apply_removal("s0", 2.0, False, 7))
+        self.assertIn("s0", usable_ids(fleet))
+
+    def test_row_of_an_earlier_process_does_not_replace_the_later_one(self):
         fleet = make_fleet()
-        fleet.apply_removal("s0", 5.0, False)
-        stale = make_record("s0", sequence=99)
-        self.assertTrue(fleet.contradicts_removal(stale, read_s=4.0))
-        self.assertTrue(fleet.contradicts_removal(stale, read_s=5.1))
-        self.assertFalse(fleet.contradicts_removal(stale, read_s=6.0))
-        self.assertFalse(fleet.contradicts_removal(make_record("s1"), read_s=4.0))
-        self.assertFalse(fleet.contradicts_removal(make_record("new"), read_s=4.0))
+        fleet.apply_record(make_record("s0", started_ms=2, row_version=8), 1.0)
+        fleet.apply_record(make_record("s0", started_ms=1, row_version=7), 2.0)
+        self.assertEqual(fleet.server_by_id["s0"].record.started_ms, 2)
 
 
 class EvacuationTest(unittest.TestCase):
     def test_servers_of_an_evacuated_place_get_no_requests_and_return_cold(self):
         fleet = make_fleet()
-        self.assertTrue(fleet.set_evacuated({"bne-north"}, 1.0))
+        self.assertTrue(fleet.set_evacuated({"bne-north"}, 1.0, 1))
         self.assertFalse(fleet.accepts_requests("s0"))
-        fleet.set_evacuated((), 5.0)
+        fleet.set_evacuated((), 5.0, 2)
         self.assertTrue(fleet.accepts_requests("s0"))
         self.assertTrue(fleet.server_by_id["s0"].is_cold(7.0))
         self.assertFalse(fleet.server_by_id["s0"].is_cold(8.1))
 
+    # Evacuations that a peer had not heard of were taken back by its reply.
+    def test_evacuations_as_of_an_earlier_version_change_nothing(self):
+        fleet = make_fleet()
+        fleet.set_evacuated({"bne-north"}, 1.0, 7)
+        self.assertFalse(fleet.set_evacuated((), 9.0, 6))
+        self.assertFalse(fleet.accepts_requests("s0"))
+
 
 STEPS = st.lists(
     st.tuples(
@@ -122,7 +163,7 @@
     def test_heartbeat_does_not_change_the_generation(self):
         fleet = make_fleet()
         generation = fleet.generation
-        fleet.apply_record(make_record("s0", sequence=2), 1.0)
+        fleet.apply_record(make_record("s0", row_version=2), 1.0)
         self.assertEqual(fleet.generation, generation)
 
 
@@ -130,24 +171,21 @@
     known = fleet.server_by_id.get(server_id)
     started_ms = known.record.started_ms if known else 1000 + number
     if step == "remove":
-        fleet.apply_removal(server_id, float(number), False)
+        fleet.apply_changes((), [server_id], float(number), False, number + 2)
         return
     if step == "restart":
         started_ms = 2000 + number
     record = make_record(
-        server_id, sequence=number + 2, started_ms=started_ms, is_leaving=step == "leave"
+        server_id, row_version=number + 2, started_ms=started_ms, is_leaving=step == "leave"
     )
-    fleet.apply_record(record, float(number))
+    fleet.apply_changes([record], (), float(number), False, number + 2)
 
 
 def _apply_update(source, follower, generation):
     update = source.update_since(generation, 50.0)
     if update.is_snapshot:
-        follower.apply_snapshot(update.records, 50.0, False)
-    for record in update.records:
-        follower.apply_record(record, 50.0)
-    for server_id in update.removed_ids:
-        follower.apply_removal(server_id, 50.0, False)
+        follower.apply_snapshot(update.records, 50.0, False, update.store_version)
+    follower.apply_changes(update.records, update.removed_ids, 50.0, False, update.store_version)
     return update.generation
 
 
--- a/test/test_traffic_selection.py
+++ b/test/test_traffic_selection.py
@@ -23,7 +23,7 @@
         ServerRecord(f"s{i}", "stock", f"10.0.0.{i + 1}:80", "north", SLOTS, started_ms=1)
         for i in range(count)
     ]
-    fleet.apply_snapshot(records, 0.0, False)
+    fleet.apply_snapshot(records, 0.0, False, 1)
     regions = {"north": "r"}
     return Selector(fleet, Placement("r", "north", regions), regions, lambda _place: round_trip_s)
 
@@ -50,7 +50,7 @@
     def test_removal_of_a_server_moves_only_its_objects(self):
         selector = make_selector(8)
         before = {key: choose(selector, key).server_id for key in map(str, range(100))}
-        selector.fleet.apply_removal("s3", 1.0, False)
+        selector.fleet.apply_removal("s3", 1.0, False, 2)
         for key, server_id in before.items():
             if server_id != "s3":
                 self.assertEqual(choose(selector, key).server_id, server_id)
@@ -193,7 +193,7 @@
             for place in self.REGION_BY_PLACE
             for i in range(1, 4)
         ]
-        fleet.apply_snapshot(records, 0.0, False)
+        fleet.apply_snapshot(records, 0.0, False, 1)
         placement = Placement(region, f"{region}-1", self.REGION_BY_PLACE)
         return Selector(fleet, placement, self.REGION_BY_PLACE, lambda _place: 0.01)
 
@@ -215,7 +215,7 @@
                 for attempt_id in range(busy):
                     selector.load(server).start(attempt_id, "other", 0.0)
         if evacuated:
-            selector.fleet.set_evacuated([f"{min(homes)}-1"], 0.0)
+            selector.fleet.set_evacuated([f"{min(homes)}-1"], 0.0, 1)
         tried = set()
         for _ in range(4):
             request = SelectionRequest(
--- a/test/test_wire_knowledge.py
+++ b/test/test_wire_knowledge.py
@@ -14,7 +14,7 @@
 FLEET_CHANGES = FleetUpdate(
     generation=7,
     is_snapshot=False,
-    records=(make_record("i-1", cold_remaining_s=1.5, sequence=9), make_record("i-2")),
+    records=(make_record("i-1", cold_remaining_s=1.5, row_version=9), make_record("i-2")),
     removed_ids=("i-3",),
     evacuated_places=frozenset({"bne-north"}),
 )
@@ -41,7 +41,7 @@
         decode(bytes(data))
 
     def test_largest_fleet_fits_a_message(self):
-        records = tuple(make_record(f"i-{i:010x}", sequence=i) for i in range(1500))
+        records = tuple(make_record(f"i-{i:010x}", row_version=i) for i in range(1500))
         reply = evolve(REPLY, fleet_changes=evolve(FLEET_CHANGES, records=records))
         self.assertEqual(decode(encode(reply)).unwrap(), reply)
 
