Read a table whole at once when the store no longer has its history

What callers saw: requests to servers that had left while the store dropped its history. Cause: the answer that the history is gone counted as a failed read; the reader asked a peer first (up to 0.9 s if it is silent), paused 0.4 s and read the table only then. Meanwhile its rows were too old for its region, whose entries each met the same answer. A failed second reading of the operator's rows was passed over without a line; it now counts like any other failed call.

--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -53,14 +53,10 @@
     def read_operator_changes(self):
         """Read the operator's rows or wait for changes; return the pause before the next call."""
         started = now_s()
-        is_full = self.operator_version is None
-        if is_full:
-            read = self.store.read_table(OPERATOR_TABLE)
-        else:
-            wait_s = self.settings.configuration_wait_s
-            read = self.store.read_changes(OPERATOR_TABLE, self.operator_version, wait_s)
+        wait_s = self.settings.configuration_wait_s
+        read, is_full = self._read_rows(OPERATOR_TABLE, self.operator_version, wait_s)
         if read.is_err():
-            return self._record_failure(read.err(), "operator_version", started)
+            return self._record_failure(read.err(), started)
         self._record_success(started)
         rows = read.ok()
         self.operator_version = rows.version
@@ -75,6 +71,7 @@
         started = now_s()
         read = self.store.read_table(OPERATOR_TABLE)
         if read.is_err():
+            self._record_failure(read.err(), started)
             return
         self._record_success(started)
         self._apply_operator_rows(read_operator_rows(read.ok().rows), True, read.ok().version)
@@ -109,13 +106,9 @@
     def read_servers(self):
         """Read the servers' rows, or their changes; return whether the store answered."""
         started = now_s()
-        is_full = self.server_version is None
-        if is_full:
-            read = self.store.read_table(SERVER_TABLE)
-        else:
-            read = self.store.read_changes(SERVER_TABLE, self.server_version, 0.0)
+        read, is_full = self._read_rows(SERVER_TABLE, self.server_version, 0.0)
         if read.is_err():
-            self._record_failure(read.err(), "server_version", started)
+            self._record_failure(read.err(), started)
             return False
         self._record_success(started)
         rows = read.ok()
@@ -197,6 +190,21 @@
         read = self.store.read_table(ENTRY_TABLE)
         return None if read.is_err() else read_entry_rows(read.ok().rows)
 
+    def _read_rows(self, table, version, wait_s):
+        """Read the changes of a table since a version, or all rows if these are not to be had.
+
+        Returns
+        -------
+        tuple[Result, bool]
+            Rows or a failure, and whether the rows are those of the whole table.
+        """
+        if version is not None:
+            read = self.store.read_changes(table, version, wait_s)
+            if read.is_ok() or read.err().code is not Code.STORE_HISTORY_LOST:
+                return read, False
+            self.log.bind(reader=table).info("store-history-lost")
+        return self.store.read_table(table), True
+
     # Availability of the store.
 
     def _record_success(self, started):
@@ -206,11 +214,7 @@
         if self.health.record_success(now):
             self.log.bind(ms=round((now - started) * 1000)).info("store-reachable")
 
-    def _record_failure(self, failure, version_name, started):
-        if failure.code is Code.STORE_HISTORY_LOST:
-            self.log.bind(reader=version_name).info("store-history-lost")
-            setattr(self, version_name, None)
-            return 0.0
+    def _record_failure(self, failure, started):
         self.outage.record_failure(started, now_s())
         if self.health.record_failure(now_s()):
             self.log.bind(code=int(failure.code), why=failure.message).warning("store-lost")
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -56,6 +56,21 @@
 
         run_fleet(test, entries_per_place=4, servers_per_place=12)
 
+    # A reader that was told that the history is gone asked a peer and waited before it read the
+    # whole table; with a peer that did not answer, its region learned nothing for seconds.
+    def test_removal_is_read_at_once_when_the_history_is_dropped(self):
+        def test(fleet):
+            for number in range(4):
+                eventlet.sleep(5.0 + 0.29 * number)
+                fleet.isolated.add(fleet.reader_of("b"))
+                fleet.remove_server(f"a1-s{number}")
+                fleet.tables.drop_history()
+                eventlet.sleep(1.4)
+                self.assertNotIn(fleet.reader_of("a"), fleet.users_of(f"a1-s{number}"))
+                fleet.isolated.clear()
+
+        run_fleet(test)
+
 
 class LeavingSoakTest(unittest.TestCase):
     # Entries that were replaced, refused by the store or cut off from each other sent requests to
