Count the age of a peer's rows from the request, and that of the operator's rows by itself

Cause: the age in a reply was taken as of its arrival, each way counted as nothing, and the age of the operator's rows was given as zero up to 4.5 s and then added to nothing. Entries without the store that ask each other so made their rows newer with each exchange. Replies now state both ages and how long they were held back; the asker counts from its request, which can only make rows seem older. A new reader confirms the operator's rows before it waits for changes.

--- a/bench/capacity_gateway.py
+++ b/bench/capacity_gateway.py
@@ -88,7 +88,7 @@
     sizes, writes, reads = [], [], []
     for count in SERVER_COUNTS:
         fleet = make_selector(count).fleet
-        reply = KnowledgeReply(b"", fleet.update_since(0, 0.0), 1, 0.1)
+        reply = KnowledgeReply(b"", fleet.update_since(0, 0.0), 1, 0.1, 0.1)
         data = encode(reply)
         sizes.append((count, len(data)))
         writes.append((count, cost_us(5, encode, reply)))
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -18,6 +18,8 @@
 MAX_RETRY_PAUSE_S = 0.4
 # Longest wait for a change of the configuration that a peer has announced.
 PEER_CHANGE_WAIT_S = 0.3
+# Age of the operator's rows from which they are read without waiting for a change.
+UNCONFIRMED_S = 0.5
 MAX_REPORTED_FAILURES = 100  # Unreadable rows that are remembered as logged.
 
 
@@ -53,7 +55,9 @@
     def read_operator_changes(self):
         """Read the operator's rows or wait for changes; return the pause before the next call."""
         started = now_s()
-        wait_s = self.settings.configuration_wait_s
+        # A poll that waits confirms the rows only at its end; a new reader confirms them first.
+        is_confirmed = started - self.cluster.operator_read_s <= UNCONFIRMED_S
+        wait_s = self.settings.configuration_wait_s if is_confirmed else 0.0
         read, is_full = self._read_rows(OPERATOR_TABLE, self.operator_version, wait_s)
         if read.is_err():
             return self._record_failure(read.err(), started)
@@ -128,7 +132,7 @@
         self.apply_servers(
             changes.records, changes.removed_ids, is_full, after_outage, rows.version, "store"
         )
-        self.cluster.servers_read_s = started
+        self.cluster.servers_read_s = max(self.cluster.servers_read_s, started)
         return True
 
     def apply_servers(
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -61,6 +61,7 @@
 
     def handle_request(self, request):
         """Return the reply to a peer, once there is a change for it or after a short wait."""
+        started = now_s()
         generation = request.generation if request.incarnation == self.incarnation else 0
         if not self._has_changes(request, generation):
             with Timeout(REPLY_WAIT_S, False):
@@ -69,8 +70,14 @@
         text = b""
         if self._configuration_version() > request.configuration_version:
             text = self.cluster.configuration_text
-        fleet_changes = self.cluster.fleet.update_since(generation, now)
-        return KnowledgeReply(text, fleet_changes, self.incarnation, self._data_age_s(now))
+        return KnowledgeReply(
+            configuration=text,
+            fleet_changes=self.cluster.fleet.update_since(generation, now),
+            incarnation=self.incarnation,
+            servers_age_s=self._servers_age_s(now),
+            operator_age_s=self._operator_age_s(now),
+            held_s=now - started,
+        )
 
     def _has_changes(self, request, generation):
         if self._configuration_version() > request.configuration_version:
@@ -81,14 +88,14 @@
         configuration = self.cluster.configuration
         return configuration.version if configuration else 0
 
-    def _data_age_s(self, now):
-        cluster = self.cluster
-        if cluster.configuration is None or not cluster.fleet.is_loaded:
+    def _servers_age_s(self, now):
+        is_loaded = self.cluster.fleet.is_loaded
+        return self.cluster.servers_age_s(now) if is_loaded else UNKNOWN_AGE_S
+
+    def _operator_age_s(self, now):
+        if self.cluster.configuration is None:
             return UNKNOWN_AGE_S
-        operator_age_s = now - cluster.operator_read_s
-        if operator_age_s <= self.settings.configuration_wait_s + OPERATOR_SLACK_S:
-            operator_age_s = 0.0
-        return min(UNKNOWN_AGE_S, max(cluster.servers_age_s(now), operator_age_s))
+        return min(UNKNOWN_AGE_S, now - self.cluster.operator_read_s)
 
     # Synchronisation loops.
 
@@ -155,17 +162,26 @@
             self._last_snapshot_s = now_s()
         incarnation, generation = self._generation_by_source.get(name, (0, 0))
         request = KnowledgeRequest(self._configuration_version(), generation, incarnation)
+        asked_s = now_s()
         reply = self.client.call(entry.reach_peer_address, request, PEER_TIMEOUT_S)
         if reply.is_err() or not isinstance(reply.ok(), KnowledgeReply):
             self._skip_source(name, "no-answer")
             return False
-        return self._apply_reply(name, reply.ok())
-
-    def _apply_reply(self, name, reply):
-        if reply.age_s > MAX_SOURCE_AGE_S:
-            self._skip_source(name, "stale", round(reply.age_s, 2))
+        return self._apply_reply(name, reply.ok(), asked_s)
+
+    def _apply_reply(self, name, reply, asked_s):
+        """Apply the reply to a request that was sent at ``asked_s``; return whether it was fresh.
+
+        The peer created the reply no earlier than it has held the request after that time. Its
+        ages count from there, so that the time on the way can only make them seem greater. Were it
+        left out, entries that ask each other would keep old rows fresh for ever.
+        """
+        replied_s = asked_s + reply.held_s
+        servers_read_s = replied_s - reply.servers_age_s
+        operator_read_s = replied_s - reply.operator_age_s
+        if not self._is_fresh(servers_read_s, operator_read_s):
+            self._skip_source(name, "stale", round(now_s() - servers_read_s, 2))
             return False
-        read_s = now_s() - reply.age_s
         self._generation_by_source[name] = (reply.incarnation, reply.fleet_changes.generation)
         if reply.configuration:
             read = decode_configuration_text(reply.configuration)
@@ -186,10 +202,18 @@
             name,
             changes.missing,
         )
-        self.cluster.servers_read_s = max(self.cluster.servers_read_s, read_s)
-        self.cluster.operator_read_s = max(self.cluster.operator_read_s, read_s)
+        self.cluster.servers_read_s = max(self.cluster.servers_read_s, servers_read_s)
+        self.cluster.operator_read_s = max(self.cluster.operator_read_s, operator_read_s)
         return True
 
+    def _is_fresh(self, servers_read_s, operator_read_s):
+        now = now_s()
+        # The operator's rows are confirmed only when the long poll for their next change ends.
+        max_operator_age_s = self.settings.configuration_wait_s + OPERATOR_SLACK_S
+        return (
+            now - servers_read_s <= MAX_SOURCE_AGE_S and now - operator_read_s <= max_operator_age_s
+        )
+
     def _skip_source(self, name, why, age_s=None):
         self.source_selector.record_failure(name, now_s())
         self.metrics.count("sources_failed", why=why)
--- a/figfold/wire/knowledge_codec.py
+++ b/figfold/wire/knowledge_codec.py
@@ -35,7 +35,9 @@
     body.whole = fleet_changes.is_snapshot
     body.removed = list(fleet_changes.removed_ids)
     body.evacuated = sorted(fleet_changes.evacuated_places)
-    body.ageS = message.age_s
+    body.serversAgeS = message.servers_age_s
+    body.operatorAgeS = message.operator_age_s
+    body.heldS = message.held_s
     body.storeVersion = fleet_changes.store_version
     body.evacuationsVersion = fleet_changes.evacuations_version
     for item, record in zip(
@@ -71,8 +73,14 @@
         evacuations_version=body.evacuationsVersion,
         missing=convert_items(body.missing, MAX_SERVERS, _read_missing, "missing"),
     )
-    age_s = require_duration(body.ageS, "ageS")
-    return KnowledgeReply(bytes(body.configuration), fleet_changes, body.incarnation, age_s)
+    return KnowledgeReply(
+        configuration=bytes(body.configuration),
+        fleet_changes=fleet_changes,
+        incarnation=body.incarnation,
+        servers_age_s=require_duration(body.serversAgeS, "serversAgeS"),
+        operator_age_s=require_duration(body.operatorAgeS, "operatorAgeS"),
+        held_s=require_duration(body.heldS, "heldS"),
+    )
 
 
 def _read_server(item):
--- a/figfold/wire/messages.py
+++ b/figfold/wire/messages.py
@@ -76,7 +76,7 @@
 
 @frozen
 class KnowledgeReply:
-    """Rows of the store that have changed, as the sender last read them, and their age.
+    """Rows of the store that have changed, as the sender last read them, and their ages.
 
     Attributes
     ----------
@@ -86,14 +86,18 @@
         Changed and removed backend servers, and the evacuated places.
     incarnation : int
         Start of the sender's process, which numbers its generations anew.
-    age_s : float
-        Seconds since the rows of the backend servers were read from the store.
+    servers_age_s, operator_age_s : float
+        Seconds from the read of the rows of the backend servers and of the operator to the reply.
+    held_s : float
+        Seconds for which the sender has waited for a change before it replied.
     """
 
     configuration: bytes
     fleet_changes: FleetUpdate
     incarnation: int
-    age_s: float
+    servers_age_s: float
+    operator_age_s: float
+    held_s: float = 0.0
 
 
 Message = Report | PlanRequest | PlanReply | KeyQuery | KeyReply | ErrorReply
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -117,10 +117,12 @@
   servers @4 :List(ServerRecord);
   removed @5 :List(Text);
   evacuated @6 :List(Text);
-  ageS @7 :Float64;
+  serversAgeS @7 :Float64;
   storeVersion @8 :UInt64;
   evacuationsVersion @9 :UInt64;
   missing @10 :List(MissingServer);
+  operatorAgeS @11 :Float64;
+  heldS @12 :Float64;
 }
 
 struct PeerMessage {
--- a/test/test_gateway_knowledge.py
+++ b/test/test_gateway_knowledge.py
@@ -1,6 +1,7 @@
 """Synchronisation of the servers with a peer: which replies are applied and which are not."""
 
 import unittest
+from types import SimpleNamespace
 
 from loguru import logger
 
@@ -26,14 +27,18 @@
             None, self.cluster, None, Metrics(), logger, None, on_server_removed=lambda _id: None
         )
         source_selector = SyncSourceSelector("e2", "a", {"a1": "a"})
+        settings = SimpleNamespace(configuration_wait_s=3.0)
         self.store_sync = StoreSync(
-            None, self.cluster, store_reader, None, Metrics(), logger, 1, source_selector
+            settings, self.cluster, store_reader, None, Metrics(), logger, 1, source_selector
         )
 
-    def apply(self, name, ids, age_s, store_version, is_snapshot=True):
+    def apply(
+        self, name, ids, age_s, store_version, is_snapshot=True, on_way_s=0.0, operator_age_s=0.0
+    ):
         records = tuple(make_record(one, row_version=version) for one, version in ids.items())
         update = FleetUpdate(5, is_snapshot, records, (), frozenset(), store_version)
-        return self.store_sync._apply_reply(name, KnowledgeReply(b"", update, 1, age_s))
+        reply = KnowledgeReply(b"", update, 1, age_s, operator_age_s)
+        return self.store_sync._apply_reply(name, reply, self.now_s - on_way_s)
 
     def ids(self):
         return set(self.cluster.fleet.server_by_id)
@@ -58,7 +63,7 @@
         self.now_s += 2.0
         self.apply("e1", {"s0": 1}, 0.1, store_version=3)
         self.now_s += 0.9
-        self.apply("e3", {"s0": 1, "s1": 2}, 0.2, store_version=2)
+        self.apply("e3", {"s0": 1, "s1": 2}, 0.2, store_version=2, on_way_s=0.9)
         self.assertEqual(self.ids(), {"s0"})
 
     def test_server_that_registered_again_is_taken_from_later_data(self):
@@ -73,6 +78,18 @@
         self.assertFalse(self.apply("e1", {"s0": 1}, 5.0, store_version=1))
         self.assertEqual(self.ids(), set())
 
+    # The time on the way was left out of the age, so that old rows passed for fresh ones.
+    def test_age_of_a_reply_includes_its_time_on_the_way(self):
+        self.assertFalse(self.apply("e1", {"s0": 1}, 1.0, store_version=1, on_way_s=0.8))
+        self.assertTrue(self.apply("e1", {"s0": 1}, 0.5, store_version=1, on_way_s=0.8))
+        self.assertAlmostEqual(self.cluster.servers_age_s(self.now_s), 1.3)
+
+    # A reply with fresh rows of servers made the operator's rows count as read at the same time.
+    def test_age_of_the_operators_rows_is_their_own(self):
+        self.apply("e1", {"s0": 1}, 0.1, store_version=1, operator_age_s=4.0)
+        self.assertAlmostEqual(self.now_s - self.cluster.operator_read_s, 4.0)
+        self.assertFalse(self.apply("e1", {"s0": 1}, 0.1, store_version=1, operator_age_s=5.0))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -71,6 +71,25 @@
 
         run_fleet(test)
 
+    # Each way of a reply took its time off the age of the rows, so that entries without the store
+    # that asked each other went on for long by what they had known before.
+    def test_rows_of_entries_without_the_store_seem_no_newer_than_they_are(self):
+        def test(fleet):
+            entries = list(fleet.process_by_entry)
+            fleet.extra_delay_by_entry |= dict.fromkeys(entries, 0.25)
+            for number in range(10):
+                eventlet.sleep(5.0 + 0.1 * number)
+                fleet.refusal_by_entry |= dict.fromkeys(entries, "busy")
+                refused_s = fleet.hub.now
+                while fleet.hub.now < refused_s + 3.0:
+                    eventlet.sleep(0.1)
+                    for name in entries:
+                        age_s = fleet.gateway_by_entry[name].cluster.servers_age_s(fleet.hub.now)
+                        self.assertGreaterEqual(age_s, fleet.hub.now - refused_s, name)
+                fleet.refusal_by_entry.clear()
+
+        run_fleet(test)
+
 
 class LeavingSoakTest(unittest.TestCase):
     # Entries that were replaced, refused by the store or cut off from each other sent requests to
--- a/test/test_wire_knowledge.py
+++ b/test/test_wire_knowledge.py
@@ -21,7 +21,7 @@
     evacuations_version=10,
     missing=(MissingServer("i-4", 0.5),),
 )
-REPLY = KnowledgeReply(b'{"version":"r9"}', FLEET_CHANGES, 1776317741377, 0.25)
+REPLY = KnowledgeReply(b'{"version":"r9"}', FLEET_CHANGES, 1776317741377, 0.25, 1.5, 0.5)
 
 
 class KnowledgeTest(unittest.TestCase):
@@ -31,7 +31,9 @@
 
     def test_fields_out_of_range_are_errors(self):
         for reply in (
-            evolve(REPLY, age_s=-1.0),
+            evolve(REPLY, servers_age_s=-1.0),
+            evolve(REPLY, operator_age_s=-1.0),
+            evolve(REPLY, held_s=-1.0),
             evolve(REPLY, fleet_changes=evolve(FLEET_CHANGES, removed_ids=("bad id",))),
             evolve(REPLY, fleet_changes=evolve(FLEET_CHANGES, evacuated_places=frozenset({""}))),
             evolve(REPLY, fleet_changes=evolve(FLEET_CHANGES, missing=(MissingServer("i", -1.0),))),
