Read the store itself once the own rows are old, and answer at once when rows become stale

What callers saw: on links on which replies wait, requests to servers that had left 3.1 s before where 3 s are allowed. Cause: an entry whose rows were already old asked its next source, which held the request for 0.5 s and then answered with rows too old to use; only then the store was read. Now old rows are renewed from the store first, and a request is held no longer than the rows stay fresh.

--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -63,8 +63,10 @@
         """Return the reply to a peer, once there is a change for it or after a short wait."""
         started = now_s()
         generation = request.generation if request.incarnation == self.incarnation else 0
-        if not self._has_changes(request, generation):
-            with Timeout(REPLY_WAIT_S, False):
+        # Rows that become stale meanwhile are no answer; the peer must learn of that at once.
+        fresh_s = MAX_SOURCE_AGE_S - self._servers_age_s(started)
+        if fresh_s > 0.0 and not self._has_changes(request, generation):
+            with Timeout(min(REPLY_WAIT_S, fresh_s), False):
                 self.cluster.change_event.wait()
         now = now_s()
         text = b""
@@ -121,7 +123,9 @@
             self.log.bind(source=source, before=self._last_source).info("source-changed")
             self._last_source = source
         if source != self.settings.name:
-            if self._ask_peer(source):
+            # A peer may keep the request waiting, so that old rows are renewed from the store.
+            is_fresh = self.cluster.servers_age_s(started) <= MAX_SOURCE_AGE_S
+            if is_fresh and self._ask_peer(source):
                 return 0.0
             self._read_store_directly()
             return SOURCE_POLL_S
@@ -131,7 +135,7 @@
         return ERROR_PAUSE_S
 
     def _read_store_directly(self):
-        """Read the store after the source has failed to provide its rows."""
+        """Read the store instead of asking the source for its rows."""
         if not self.store_reader.read_servers():
             self._ask_fallback()
             return
