Bound what is read of an answer's head and framing, and give other requests a turn meanwhile

What callers saw (found by a test of our own on the news about servers): an entry that stops. Cause: a green socket yields only when there is nothing to read, and the library reads interim answers, trailers and unsized bodies for as long as they come. Now a socket counts what it reads: 256 KiB up to the end of the head, 16.25 MiB for an unsized answer, no bound for one with a length, and a turn for the others after each 256 KiB.

--- a/bench/platform_deployment.py
+++ b/bench/platform_deployment.py
@@ -77,6 +77,7 @@
         spawn_wsgi(listener, self.rows.app)
         self.store_address = address_of(listener)
         self.endpoint_by_id = {}
+        self.removed_ids = set()
         self.entries = []
         self.folder = tempfile.TemporaryDirectory()
         for one in servers:
@@ -95,7 +96,13 @@
         while True:
             eventlet.sleep(HEARTBEAT_S)
             for server_id, endpoint in self.endpoint_by_id.items():
-                self.rows.put("servers", server_id, endpoint.row())
+                if server_id not in self.removed_ids:
+                    self.rows.put("servers", server_id, endpoint.row())
+
+    def remove_endpoint(self, server_id):
+        """Remove the row of a backend server, which goes on serving."""
+        self.removed_ids.add(server_id)
+        self.rows.remove("servers", server_id)
 
     def start_entry(self, name, place):
         """Start an entry and wait until it is ready."""
@@ -218,6 +225,10 @@
         """Send SIGTERM to the entry."""
         self.child.send_signal(signal.SIGTERM)
 
+    def hang_up(self):
+        """Send SIGHUP to the entry."""
+        self.child.send_signal(signal.SIGHUP)
+
     def kill(self):
         """Kill the entry with SIGKILL."""
         self.child.kill()
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -13,6 +13,7 @@
 from http.client import HTTPException
 from math import inf
 
+import eventlet
 from attrs import Factory, define, frozen
 from eventlet import Timeout
 from eventlet.greenio import GreenSocket
@@ -33,6 +34,12 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 # The largest answer accepted without a Content-Length.
 UNSIZED_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+# The most bytes that are read up to the end of an answer's head, with interim answers.
+HEAD_LIMIT_BYTES = 256 * 1024
+# The most bytes that the framing of an unsized answer may add, with its trailers.
+FRAMING_LIMIT_BYTES = 256 * 1024
+# Bytes read from one socket after which other green threads get a turn.
+YIELD_BYTES = 256 * 1024
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -66,13 +73,22 @@
     fresh: bool
 
 
-class ResetAwareSocket(GreenSocket):
-    """A green socket that raises an error when its connection was reset.
+class AnswerSocket(GreenSocket):
+    """A green socket that reads an answer: it bounds its size and tells a reset from its end.
 
-    The library's own class returns no bytes instead, which would look like the end of an answer
-    without a length.
+    For a reset, the library's own class returns no bytes, which would look like the end of an
+    answer without a length. The library also never lets other green threads run while there is
+    something to read, so that a server that sends without end would stop the whole process.
+
+    Attributes
+    ----------
+    allowed_bytes : int
+        How much may still be read before the bytes count as no answer.
     """
 
+    allowed_bytes = HEAD_LIMIT_BYTES
+    _unyielded_bytes = 0
+
     def _recv_loop(self, recv_meth, empty_val, *args):
         def receive(*arguments):
             try:
@@ -80,7 +96,18 @@
             except (ConnectionResetError, BrokenPipeError) as error:
                 raise ConnectionAbortedError(errno.ECONNABORTED, "connection reset") from error
 
-        return super()._recv_loop(receive, empty_val, *args)
+        received = super()._recv_loop(receive, empty_val, *args)
+        self._count(received if isinstance(received, int) else len(received))
+        return received
+
+    def _count(self, size):
+        self.allowed_bytes -= size
+        if self.allowed_bytes < 0:
+            raise ValueError("more bytes than an answer may have")
+        self._unyielded_bytes += size
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            eventlet.sleep(0)
 
 
 @frozen
@@ -199,6 +226,7 @@
         headers += self.headers_at_send(name, timeout_s)
         connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
+        connection.sock.allowed_bytes = HEAD_LIMIT_BYTES
         connection.request(
             method,
             target,
@@ -207,12 +235,17 @@
             preload_content=False,
             decode_content=False,
         )
+        sock = connection.sock
         response = connection.getresponse()
+        length = _content_length(response)
+        # The length is up to the server, and a sized answer is passed on as it is read.
+        sock.allowed_bytes = (
+            inf if length is not None else UNSIZED_ANSWER_LIMIT_BYTES + FRAMING_LIMIT_BYTES
+        )
         body = self._read_first_part(response)
         end_to_end_headers = tuple(
             (key, value) for key, value in response.headers.items() if key.lower() not in HOP_BY_HOP
         )
-        length = _content_length(response)
         if length is not None and method != "HEAD" and len(body) < length:
             rest = self._read_rest(connection, address, response)
             next(rest)
@@ -303,5 +336,5 @@
         return None
     connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     # The library creates the socket itself and offers no way to choose its class.
-    connection.sock.__class__ = ResetAwareSocket
+    connection.sock.__class__ = AnswerSocket
     return connection
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -28,6 +28,8 @@
         For how long after its start the server reports itself as cold.
     runs : Counter
         Number of runs by request id.
+    arrived_s_by_request : dict[str, float]
+        When each request last arrived that was meant for this server, in monotonic seconds.
     cancelled : int
         Requests whose connection was closed before the response was sent.
     """
@@ -41,6 +43,7 @@
     cold_start_s: float = 0.0
     fault: str = ""
     runs: Counter = field(factory=Counter)
+    arrived_s_by_request: dict = field(factory=dict)
     heads: list = field(factory=list)
     cancelled: int = 0
     sequence: int = 0
@@ -119,6 +122,7 @@
         request_id = headers.get("attempt-id", "")
         if headers.get("target-instance", self.id) != self.id:
             return _send(sock, "421 Misdirected Request", {"Instance-Id": self.id}, b"")
+        self.arrived_s_by_request[request_id] = time.monotonic()
         if self.fault == "shed":
             return _send(sock, "503 Service Unavailable", {"Not-Executed": "1"}, b"")
         with self._free_slots:
--- /dev/null
+++ b/test/soak_processes.py
@@ -0,0 +1,340 @@
+"""Seeded soak of real entries: servers leave while entries stop, end, restart and reload.
+
+Callers use their open connections until these are closed. Signals, restarts, changes of the
+configuration and outages of the store come in series and overlap.
+"""
+
+import random
+import sys
+import time
+from collections import Counter
+
+import eventlet
+from attrs import Factory, define, field
+from eventlet.green.http import client as green_client
+
+from bench.platform_deployment import HOST, PlatformDeployment, ServiceServers, make_configuration
+
+REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
+# Bounds of the platform's rules, in seconds.
+DRAIN_S = 2.5
+STABLE_WINDOW_S = 4.0
+LOOKUP_S = STABLE_WINDOW_S + 3.0
+READY_S = 4.0
+GRACE_S = 2.0  # Of the entries of this deployment.
+PAUSE_S = 0.02  # Of a caller between two requests.
+CALL_TIMEOUT_S = 4.0
+MIN_SERVERS_PER_SERVICE = 6
+REFUSALS = frozenset({408, 421, 429, 503})
+
+
+def _configuration(version):
+    reads = {"kind": "safe", "timeoutS": 1.5, "service": "stockview", "prefix": "/read/"}
+    books = {"kind": "non_idempotent", "timeoutS": 1.5, "service": "cutdesk", "prefix": "/book/"}
+    return make_configuration(version, {"read": reads, "book": books})
+
+
+@define(eq=False)
+class ProcessSoak:
+    """One run against entries as processes.
+
+    Attributes
+    ----------
+    disturbed_s_by_entry : dict[str, float]
+        When an entry was last disturbed; the store has the empty name.
+    ended_s_by_address : dict[str, float]
+        When the entry with this caller address ended, while it has not started again.
+    left_s_by_server : dict[str, float]
+        When the store accepted that a server leaves.
+    """
+
+    deployment: PlatformDeployment
+    random: random.Random
+    duration_s: float
+    entry_by_name: dict = Factory(dict)
+    disturbed_s_by_entry: dict = Factory(dict)
+    ended_s_by_address: dict = Factory(dict)
+    left_s_by_server: dict = Factory(dict)
+    calls: list = Factory(list)
+    violations: list = Factory(list)
+    counts: Counter = field(factory=Counter)
+    _ends_s: float = 0.0
+    _version: int = 1
+    _added: int = 0
+    _stopping: set = Factory(set)
+
+    @classmethod
+    def from_sizes(cls, seed, duration_s, entries_per_place, servers_per_place):
+        """Start the deployment of a run."""
+        servers = [
+            ServiceServers(service, place, servers_per_place)
+            for service in ("stockview", "cutdesk")
+            for place in REGION_BY_PLACE
+        ]
+        deployment = PlatformDeployment(REGION_BY_PLACE, servers, _configuration(1))
+        soak = cls(deployment, random.Random(seed), duration_s)
+        for place in REGION_BY_PLACE:
+            for number in range(entries_per_place):
+                name = f"{place}-{number}"
+                soak.entry_by_name[name] = deployment.start_entry_process(name, place)
+        for entry in soak.entry_by_name.values():
+            entry.wait_ready()
+        return soak
+
+    def run(self, callers):
+        """Play the run; return its violations."""
+        self._ends_s = time.monotonic() + self.duration_s
+        threads = [eventlet.spawn(self._call_repeatedly, number) for number in range(callers)]
+        threads.append(eventlet.spawn(self._watch_lookups))
+        while time.monotonic() < self._ends_s:
+            self._draw_event()
+            eventlet.sleep(self.random.uniform(0.05, 0.6))
+        for thread in threads:
+            thread.wait()
+        self._check_calls()
+        self.deployment.stop()
+        return self.violations
+
+    # Events.
+
+    def _draw_event(self):
+        weight_by_event = {
+            self._leave: 8,
+            self._add_server: 6,
+            self._terminate: 4,
+            self._kill: 2,
+            self._hang_up: 3,
+            self._change_configuration: 3,
+            self._stop_store: 0.5,
+            self._drop_history: 1,
+        }
+        (event,) = self.random.choices(list(weight_by_event), list(weight_by_event.values()))
+        self.counts[event.__name__.strip("_")] += 1
+        event()
+
+    def _disturb(self, name):
+        self.disturbed_s_by_entry[name] = time.monotonic()
+
+    def _leave(self):
+        by_service = Counter(
+            one.service
+            for one in self.deployment.endpoint_by_id.values()
+            if one.id not in self.left_s_by_server
+        )
+        candidates = [
+            one
+            for one in self.deployment.endpoint_by_id.values()
+            if one.id not in self.left_s_by_server
+            and by_service[one.service] > MIN_SERVERS_PER_SERVICE
+        ]
+        if not candidates or self.deployment.rows.is_down:
+            return
+        endpoint = self.random.choice(candidates)
+        if self.random.random() < 0.5:
+            endpoint.state = "draining"
+            self.deployment.rows.put("servers", endpoint.id, endpoint.row())
+        else:
+            self.deployment.remove_endpoint(endpoint.id)
+        self.left_s_by_server[endpoint.id] = time.monotonic()
+
+    def _add_server(self):
+        if self.deployment.rows.is_down:
+            return
+        self._added += 1
+        service = self.random.choice(("stockview", "cutdesk"))
+        place = self.random.choice(sorted(REGION_BY_PLACE))
+        self.deployment.add_endpoint(f"new-{self._added}", service, place)
+
+    def _pick_entry(self):
+        running = sorted(set(self.entry_by_name) - self._stopping)
+        if 2 * len(running) <= len(self.entry_by_name):
+            return None
+        # The entry with the lowest name reads the store for its region.
+        return running[0] if self.random.random() < 0.3 else self.random.choice(running)
+
+    def _terminate(self):
+        name = self._pick_entry()
+        if name is not None:
+            self._stopping.add(name)
+            self._disturb(name)
+            eventlet.spawn_n(self._stop_and_restart, name)
+
+    def _stop_and_restart(self, name):
+        entry = self.entry_by_name[name]
+        entry.terminate()
+        began_s = time.monotonic()
+        while entry.child.poll() is None:
+            if self.random.random() < 0.02:
+                entry.hang_up()
+            if self.random.random() < 0.02:
+                entry.terminate()
+            stopped_s = time.monotonic() - began_s
+            if entry.is_ready() and stopped_s > READY_S / 2:
+                self.violations.append(f"{name} is ready {stopped_s:.1f} s after SIGTERM")
+            if stopped_s > GRACE_S + 1.0:
+                self.violations.append(f"{name} still runs {stopped_s:.1f} s after SIGTERM")
+                break
+            eventlet.sleep(0.1)
+        self._restart(name)
+
+    def _kill(self):
+        name = self._pick_entry()
+        if name is not None:
+            self._stopping.add(name)
+            self._disturb(name)
+            eventlet.spawn_n(self._restart, name)
+
+    def _restart(self, name):
+        entry = self.entry_by_name[name]
+        entry.kill()
+        self.ended_s_by_address[entry.address["caller"]] = time.monotonic()
+        self._disturb(name)
+        eventlet.sleep(self.random.choice((0.0, 0.3, 12.0)))
+        if time.monotonic() >= self._ends_s:
+            return
+        self.entry_by_name[name] = self.deployment.start_entry_process(name, entry.place)
+        self._disturb(name)
+        self._stopping.discard(name)
+
+    def _hang_up(self):
+        name = self._pick_entry()
+        # Until its handlers are set, a signal ends a process that is starting.
+        if name is not None and self.entry_by_name[name].is_ready():
+            for _ in range(self.random.randrange(1, 4)):
+                self.entry_by_name[name].hang_up()
+            self._disturb(name)
+
+    def _change_configuration(self):
+        if not self.deployment.rows.is_down:
+            self._version += self.random.randrange(1, 4)
+            self.deployment.rows.put("op", "config", _configuration(self._version))
+
+    def _stop_store(self):
+        if not self.deployment.rows.is_down:
+            self.deployment.rows.is_down = True
+            self._disturb("")
+            eventlet.spawn_after(self.random.uniform(0.3, 2.0), self._restart_store)
+
+    def _restart_store(self):
+        self.deployment.rows.is_down = False
+        self._disturb("")
+
+    def _drop_history(self):
+        self.deployment.rows.drop_history()
+
+    # Callers.
+
+    def _call_repeatedly(self, number):
+        sent, connection, entry = 0, None, None
+        while time.monotonic() < self._ends_s:
+            if connection is None:
+                entry = self.random.choice(sorted(self.entry_by_name.values(), key=_name_of))
+                connection = green_client.HTTPConnection(
+                    entry.address["caller"], timeout=CALL_TIMEOUT_S
+                )
+            sent += 1
+            is_open = self._call(connection, entry, f"c{number}-{sent}", sent % 3 == 0)
+            if not is_open:
+                connection.close()
+                connection = None
+            eventlet.sleep(PAUSE_S)
+
+    def _call(self, connection, entry, request_id, is_booking):
+        """Send one request; return whether the connection can be used for another one."""
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": request_id,
+            "Affinity-Key": str(self.random.randrange(40)),
+            "Deadline-Ms": "2000",
+        }
+        method, path = ("POST", "/book/1") if is_booking else ("GET", "/read/1")
+        status, is_open = 0, False
+        try:
+            connection.request(method, path, b"x" if is_booking else None, headers)
+            response = connection.getresponse()
+            response.read()
+            status = response.status
+            is_open = not response.will_close
+        except (OSError, green_client.HTTPException):
+            # A caller sees this when its entry ends; the status 0 is checked afterwards.
+            self.counts["no answer"] += 1
+        self.calls.append((request_id, entry, is_booking, status))
+        self.counts[status] += 1
+        return is_open
+
+    def _watch_lookups(self):
+        while time.monotonic() < self._ends_s:
+            for name, entry in sorted(self.entry_by_name.items()):
+                if name in self._stopping or not self._is_calm(name, time.monotonic()):
+                    continue
+                try:
+                    _, _, body = entry.get("lookup", "/resolve?name=h&region=bne&zone=bne-north")
+                except OSError:
+                    # The entry was ended meanwhile.
+                    continue
+                for address, ended_s in list(self.ended_s_by_address.items()):
+                    ended_for_s = time.monotonic() - ended_s
+                    if ended_for_s > LOOKUP_S and address.encode() in body:
+                        self.violations.append(
+                            f"{name} names {address}, which ended {ended_for_s:.1f} s ago"
+                        )
+            eventlet.sleep(0.3)
+
+    # Checks.
+
+    def _is_calm(self, name, at_s):
+        return at_s - self.disturbed_s_by_entry.get(name, 0.0) > STABLE_WINDOW_S
+
+    def _check_calls(self):
+        for request_id, entry, is_booking, status in self.calls:
+            runs = self.deployment.runs(request_id)
+            if is_booking and runs > 1:
+                self.violations.append(f"booking {request_id} ran {runs} times")
+            if is_booking and status in REFUSALS and runs:
+                self.violations.append(f"booking {request_id} ran and was answered {status}")
+            if not status and runs and entry.child.returncode == 0:
+                self.violations.append(
+                    f"{request_id} ran and {entry.name} closed without an answer"
+                )
+        for server_id, left_s in self.left_s_by_server.items():
+            arrivals = self.deployment.endpoint_by_id[server_id].arrived_s_by_request
+            late = [at_s - left_s for at_s in arrivals.values() if at_s > left_s + DRAIN_S]
+            if late and not self._store_was_disturbed(left_s, max(arrivals.values())):
+                self.violations.append(
+                    f"{len(late)} requests reached {server_id}, the last {max(late):.1f} s after it"
+                    " left"
+                )
+
+    def _store_was_disturbed(self, from_s, until_s):
+        disturbed_s = self.disturbed_s_by_entry.get("", 0.0)
+        return from_s - STABLE_WINDOW_S <= disturbed_s <= until_s
+
+
+def _name_of(entry):
+    return entry.name
+
+
+def play(seed, duration_s=20.0, entries_per_place=2, servers_per_place=4, callers=12):
+    """Play the run of a seed; return its violations and the counts of what happened."""
+    soak = ProcessSoak.from_sizes(seed, duration_s, entries_per_place, servers_per_place)
+    violations = soak.run(callers)
+    return violations, soak.counts
+
+
+def main(arguments):
+    """Play the seeds from the first to the last one given; print each violation."""
+    first, last = int(arguments[0]), int(arguments[1])
+    sizes = [int(one) for one in arguments[2:]]
+    failed = 0
+    for seed in range(first, last + 1):
+        violations, counts = play(seed, *sizes)
+        failed += bool(violations)
+        print(f"seed {seed}: {len(violations)} violations", dict(counts), flush=True)
+        for one in violations[:5]:
+            print(f"  {one}", flush=True)
+    print(f"{last - first + 1} seeds, {failed} with violations")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/test/test_connections.py
+++ b/test/test_connections.py
@@ -1,6 +1,9 @@
 """Exchanges over real connections with a small server that answers late, twice, or in part."""
 
 import random
+import subprocess
+import sys
+import time
 import unittest
 from unittest import mock
 
@@ -11,11 +14,17 @@
 from figfold.core.codes import Code
 from figfold.entry.connections import Connections
 from figfold.entry.connections import _open as open_connection
+from test.endless_server import BYTES_BY_KIND
+from test.support import ROOT
 
 LOOPBACK = "127.0.0.1"
 SHORT_S = 0.05
 LONG_S = 20.0
 OPEN_S = 0.1
+ENDLESS_TIMEOUT_S = 4.0
+# Longest time for which one connection may keep the other requests of an entry waiting.
+LONGEST_TURN_S = 0.2
+TURN_CHECK_S = 0.005
 BUFFER_BYTES = 64 * 1024
 LARGE_BYTES = 3_000_000
 REQUESTS = 60
@@ -187,5 +196,45 @@
         self.assertNotIn("/plain/2/", self.server.head_by_path)
 
 
+class EndlessAnswerTest(unittest.TestCase):
+    """Bytes that are no answer and never end, in the head or the body."""
+
+    def setUp(self):
+        patch = mock.patch("urllib3.util.connection.socket", socket)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.longest_turn_s = 0.0
+
+    def exchange(self, kind):
+        command = [sys.executable, "-m", "test.endless_server", kind]
+        with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE) as server:
+            self.addCleanup(server.kill)
+            address = f"{LOOPBACK}:{int(server.stdout.readline())}"
+            watch = eventlet.spawn(self._watch_turns)
+            eventlet.sleep(TURN_CHECK_S)
+            result = Connections(LONG_S, BUFFER_BYTES).exchange(
+                address, ("GET", "/", (), b""), ENDLESS_TIMEOUT_S
+            )
+            eventlet.sleep(TURN_CHECK_S)
+            watch.kill()
+            server.kill()
+        return result
+
+    def _watch_turns(self):
+        while True:
+            started = time.monotonic()
+            eventlet.sleep(TURN_CHECK_S)
+            self.longest_turn_s = max(self.longest_turn_s, time.monotonic() - started)
+
+    # Interim answers and trailers without end were read until the request's time was over, and
+    # meanwhile no other request of the entry got a turn.
+    def test_bytes_without_end_are_no_answer_and_keep_no_other_request_waiting(self):
+        for kind in BYTES_BY_KIND:
+            with self.subTest(kind=kind):
+                self.longest_turn_s = 0.0
+                self.assertIs(self.exchange(kind).err().code, Code.SERVER_BAD_ANSWER)
+                self.assertLess(self.longest_turn_s, LONGEST_TURN_S)
+
+
 if __name__ == "__main__":
     unittest.main()
