Let no configuration be too large for what entries tell each other

Cause: the reply of the exchange holds the configuration as text and is limited to 256 KiB. On the grown deployments a change adds some 1,900 routes; the reply then cannot be encoded (702), so that the asker gets neither the configuration nor the servers, passes over one source after the other and reads the store.

--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -7,6 +7,7 @@
 from figfold.core.traffic.sync_source import MAX_SOURCE_AGE_S, SyncSourceSelector
 from figfold.entry.clock import now_s
 from figfold.platform.tables import decode_configuration_text
+from figfold.wire.knowledge_codec import fits_reply
 from figfold.wire.messages import KnowledgeReply, KnowledgeRequest
 
 # Longest time that a request of a peer is held open until there is a change to report.
@@ -72,6 +73,9 @@
         text = b""
         if self._configuration_version() > request.configuration_version:
             text = self.cluster.configuration_text
+            if not fits_reply(text):
+                # The peer reads it from the store; what is known of the servers must still arrive.
+                text = b""
         return KnowledgeReply(
             configuration=text,
             fleet_changes=self.cluster.fleet.update_since(generation, now),
@@ -79,6 +83,7 @@
             servers_age_s=self._servers_age_s(now),
             operator_age_s=self._operator_age_s(now),
             held_s=now - started,
+            configuration_version=self._configuration_version(),
         )
 
     def _has_changes(self, request, generation):
@@ -207,7 +212,10 @@
             changes.missing,
         )
         self.cluster.servers_read_s = max(self.cluster.servers_read_s, servers_read_s)
-        self.cluster.operator_read_s = max(self.cluster.operator_read_s, operator_read_s)
+        if reply.configuration_version > self._configuration_version():
+            self.store_reader.reread_operator_rows()
+        else:
+            self.cluster.operator_read_s = max(self.cluster.operator_read_s, operator_read_s)
         return True
 
     def _is_fresh(self, servers_read_s, operator_read_s):
--- a/figfold/wire/knowledge_codec.py
+++ b/figfold/wire/knowledge_codec.py
@@ -1,7 +1,11 @@
 """Encodes and decodes the messages by which entries share the store's rows."""
 
+import zlib
+from functools import lru_cache
+
 from figfold.core.traffic.fleet import FleetUpdate, MissingServer, ServerRecord
 from figfold.wire.fields import (
+    FieldError,
     convert_items,
     decode_address,
     encode_address,
@@ -12,6 +16,15 @@
 
 MAX_SERVERS = 2000
 MAX_PLACES = 1000
+# The largest configuration, and the largest deflated one that a reply has room for.
+MAX_CONFIGURATION_BYTES = 8 << 20
+MAX_DEFLATED_BYTES = 128 * 1024
+DEFLATE_LEVEL = 3
+
+
+def fits_reply(configuration):
+    """Return whether a reply has room for the text of a configuration."""
+    return len(_deflate(configuration)) <= MAX_DEFLATED_BYTES
 
 
 def write_knowledge_request(body, message):
@@ -29,7 +42,8 @@
 def write_knowledge_reply(body, message):
     """Write a `KnowledgeReply` into the body of a message."""
     fleet_changes = message.fleet_changes
-    body.configuration = message.configuration
+    body.deflatedConfiguration = _deflate(message.configuration)
+    body.configurationVersion = message.configuration_version
     body.generation = fleet_changes.generation
     body.incarnation = message.incarnation
     body.whole = fleet_changes.is_snapshot
@@ -74,7 +88,8 @@
         missing=convert_items(body.missing, MAX_SERVERS, _read_missing, "missing"),
     )
     return KnowledgeReply(
-        configuration=bytes(body.configuration),
+        configuration=_inflate(body.deflatedConfiguration),
+        configuration_version=body.configurationVersion,
         fleet_changes=fleet_changes,
         incarnation=body.incarnation,
         servers_age_s=require_duration(body.serversAgeS, "serversAgeS"),
@@ -102,3 +117,22 @@
         id=require_name(item.id, "missing"),
         missing_s=require_duration(item.missingS, "missingS"),
     )
+
+
+@lru_cache(maxsize=2)
+def _deflate(data):
+    """Return the compressed data; the text of a version is sent to many peers."""
+    return zlib.compress(data, DEFLATE_LEVEL) if data else b""
+
+
+def _inflate(data):
+    if not data:
+        return b""
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(data, MAX_CONFIGURATION_BYTES)
+    except zlib.error as error:
+        raise FieldError(f"the configuration cannot be inflated: {error}") from error
+    if not inflater.eof:
+        raise FieldError("the configuration is incomplete or too large")
+    return text
--- a/figfold/wire/messages.py
+++ b/figfold/wire/messages.py
@@ -81,7 +81,10 @@
     Attributes
     ----------
     configuration : bytes
-        A later configuration as the operator wrote it, or nothing.
+        A later configuration as the operator wrote it; nothing if there is none or if it is too
+        large for a message.
+    configuration_version : int
+        Version of the configuration in force at the sender, zero for none.
     fleet_changes : FleetUpdate
         Changed and removed backend servers, and the evacuated places.
     incarnation : int
@@ -98,6 +101,7 @@
     servers_age_s: float
     operator_age_s: float
     held_s: float = 0.0
+    configuration_version: int = 0
 
 
 Message = Report | PlanRequest | PlanReply | KeyQuery | KeyReply | ErrorReply
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -110,7 +110,7 @@
 
 # Changed rows of the store, or all rows of backend servers if `whole`, and their age.
 struct KnowledgeReply {
-  configuration @0 :Data;
+  unused0 @0 :Data;
   generation @1 :UInt64;
   incarnation @2 :UInt64;
   whole @3 :Bool;
@@ -123,6 +123,8 @@
   missing @10 :List(MissingServer);
   operatorAgeS @11 :Float64;
   heldS @12 :Float64;
+  deflatedConfiguration @13 :Data;
+  configurationVersion @14 :UInt64;
 }
 
 struct PeerMessage {
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from test.soak_leaving import play
+from test import soak_leaving, soak_processes
 from test.virtual import run_virtual
 from test.virtual_gateway import VirtualFleet
 
@@ -13,6 +13,7 @@
 # Time after which no entry may send requests to a server whose leaving the store has accepted.
 DRAIN_S = 2.5
 SOAK_SEEDS = range(1, 7)
+PROCESS_SOAK_SEED = 1
 
 
 def run_fleet(test, entries_per_place=2, servers_per_place=4):
@@ -90,6 +91,24 @@
 
         run_fleet(test)
 
+    # Replies with a large configuration did not fit a message. Entries then passed over one source
+    # after the other and read all from the store, on links that this filled.
+    def test_large_configuration_does_not_stop_what_entries_tell_each_other(self):
+        for route_count in (2500, 20000):
+            with self.subTest(route_count=route_count):
+
+                def test(fleet, route_count=route_count):
+                    eventlet.sleep(4.0)
+                    fleet.put_configuration(2, route_count)
+                    self.check_leaving(fleet, "a1-s0")
+                    gateways = fleet.gateway_by_entry.values()
+                    versions = {one.cluster.configuration.version for one in gateways}
+                    self.assertEqual(versions, {2})
+                    failed = [one.metrics.render(()) for one in gateways]
+                    self.assertFalse([one for one in failed if "sources_failed" in one])
+
+                run_fleet(test)
+
 
 class LeavingSoakTest(unittest.TestCase):
     # Entries that were replaced, refused by the store or cut off from each other sent requests to
@@ -97,7 +116,15 @@
     def test_no_entry_uses_a_server_that_has_left(self):
         for seed in SOAK_SEEDS:
             with self.subTest(seed=seed):
-                self.assertEqual(play(seed)[:5], [])
+                self.assertEqual(soak_leaving.play(seed)[:5], [])
+
+    # The same with entries as processes, which are stopped, ended and told to reload by turns while
+    # callers go on using their connections.
+    def test_no_process_uses_a_server_that_has_left(self):
+        violations, counts = soak_processes.play(PROCESS_SOAK_SEED)
+        self.assertEqual(violations, [])
+        self.assertGreater(counts[200], 1000)
+        self.assertGreater(counts["terminate"], 0)
 
 
 if __name__ == "__main__":
--- a/test/test_wire_knowledge.py
+++ b/test/test_wire_knowledge.py
@@ -1,6 +1,9 @@
 """Encoding and decoding of the messages by which entries share the store's rows."""
 
+import json
+import random
 import unittest
+from unittest.mock import patch
 
 from attrs import evolve
 from hypothesis import given
@@ -8,6 +11,7 @@
 
 from figfold.core.traffic.fleet import FleetUpdate, MissingServer
 from figfold.wire.codec import decode, encode
+from figfold.wire.knowledge_codec import fits_reply
 from figfold.wire.messages import KnowledgeReply, KnowledgeRequest
 from test.test_traffic_fleet import make_record
 
@@ -21,7 +25,7 @@
     evacuations_version=10,
     missing=(MissingServer("i-4", 0.5),),
 )
-REPLY = KnowledgeReply(b'{"version":"r9"}', FLEET_CHANGES, 1776317741377, 0.25, 1.5, 0.5)
+REPLY = KnowledgeReply(b'{"version":"r9"}', FLEET_CHANGES, 1776317741377, 0.25, 1.5, 0.5, 9)
 
 
 class KnowledgeTest(unittest.TestCase):
@@ -51,6 +55,33 @@
         reply = evolve(REPLY, fleet_changes=evolve(FLEET_CHANGES, records=records))
         self.assertEqual(decode(encode(reply)).unwrap(), reply)
 
+    # A configuration of about 2,000 routes made each reply too large, so that entries told each
+    # other nothing any more, not even which servers were leaving.
+    def test_configuration_of_thousands_of_routes_fits_a_message(self):
+        names = random.Random(1)
+        routes = {
+            f"r-{names.getrandbits(28):07x}": {
+                "host": f"{names.getrandbits(20):x}.example",
+                "prefix": f"/{names.getrandbits(40):x}/",
+                "service": "stock",
+                "kind": "safe",
+                "timeoutS": 4.8,
+                "targetLatencyS": 0.72,
+            }
+            for _ in range(2500)
+        }
+        text = json.dumps({"version": "r9", "routes": routes}).encode()
+        self.assertGreater(len(text), 256 * 1024)
+        self.assertTrue(fits_reply(text))
+        records = tuple(make_record(f"i-{i:010x}", row_version=i) for i in range(400))
+        changes = evolve(FLEET_CHANGES, records=records)
+        reply = evolve(REPLY, configuration=text, fleet_changes=changes)
+        self.assertEqual(decode(encode(reply)).unwrap(), reply)
+
+    def test_configuration_that_inflates_too_far_is_an_error(self):
+        with patch("figfold.wire.knowledge_codec.MAX_CONFIGURATION_BYTES", 10):
+            self.assertTrue(decode(encode(REPLY)).is_err())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -1,6 +1,7 @@
 """Gateway entries in virtual time, which learn of backend servers from a fake store and peers."""
 
 import json
+from random import Random
 from urllib.parse import parse_qsl, urlsplit
 
 import eventlet
@@ -14,7 +15,7 @@
 from figfold.gateway.process import GatewayProcess
 from figfold.platform.answers import Answer
 from figfold.platform.rows import RowStore
-from figfold.wire.codec import decode, encode
+from figfold.wire.codec import decode, encode, try_encode
 from standins.rows import RowTables
 from test.virtual import VirtualHub
 
@@ -84,11 +85,13 @@
             return Err(Failure(Code.PEER_UNREACHABLE, "refused"))
         gateway = fleet.gateway_by_entry[other]
         received = decode(encode(message)).unwrap()
-        reply = fleet.hub.run_as(process, gateway.peers.handle, received)
+        reply = try_encode(fleet.hub.run_as(process, gateway.peers.handle, received))
+        if reply.is_err():
+            return reply
         if fleet.process_by_entry.get(other) != process:
             return Err(Failure(Code.PEER_UNREACHABLE, "reset"))
         eventlet.sleep(fleet.peer_delay_s(other, self.entry))
-        return Ok(decode(encode(reply)).unwrap())
+        return decode(reply.ok())
 
 
 @define
@@ -128,15 +131,7 @@
     ):
         """Return a fleet whose entries have started and know all servers."""
         fleet = cls(hub, region_by_place, region_delay_s, next(iter(region_by_place.values())))
-        route = {
-            "kind": "safe",
-            "host": "h",
-            "prefix": "/a/",
-            "service": SERVICE,
-            "timeoutS": 2.0,
-        }
-        configuration = {"version": "r1", "routes": {"a": route}, "services": {SERVICE: {}}}
-        fleet.tables.put("op", "config", configuration)
+        fleet.put_configuration(1)
         for place in region_by_place:
             for number in range(servers_per_place):
                 fleet.put_server(f"{place}-s{number}", place)
@@ -214,7 +209,24 @@
             delay_s = self.region_delay_s
         return delay_s + self.extra_delay_by_entry.get(sender, 0.0)
 
-    # Backend servers.
+    # Rows of the operator and of the backend servers.
+
+    def put_configuration(self, version, route_count=1):
+        """Write a configuration with that many routes, whose names are drawn."""
+        names = Random(version)
+        routes = {
+            f"r-{number}": {
+                "kind": "safe",
+                "host": f"{names.getrandbits(20):x}.example",
+                "prefix": f"/{names.getrandbits(40):x}/",
+                "service": SERVICE,
+                "timeoutS": 2.0,
+                "targetLatencyS": 0.5,
+            }
+            for number in range(route_count)
+        }
+        configuration = {"version": f"r{version}", "routes": routes, "services": {SERVICE: {}}}
+        self.tables.put("op", "config", configuration)
 
     def put_server(self, server_id, place, state="ready"):
         """Write the row of a server, whose heartbeats are one second apart."""
