Read from the store only what no peer has told

What callers saw, at scale only: an entry without its source learned of leaving servers and of versions 3 s and more after the store had them. Since rows are ordered by the store's versions, the version up to which the fleet is known is where a read goes on.

--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -32,8 +32,8 @@
     cluster : ClusterView
     on_confirmed : callable
         ``(version, started_s)``, called after each read of the operator's rows.
-    operator_version, server_version : int or None
-        Version of the table as last read; None before the first read.
+    operator_version : int or None
+        Version of the operator's table as last read; None before the first read.
     """
 
     store: object
@@ -45,7 +45,6 @@
     on_server_removed: object
     health: StoreHealth = field(factory=StoreHealth)
     operator_version: int | None = None
-    server_version: int | None = None
     outage: OutageTracker = field(factory=OutageTracker)
     _retry_pause_s: float = RETRY_PAUSE_S
     _reported_messages: set = field(factory=set)
@@ -110,13 +109,15 @@
     def read_servers(self):
         """Read the servers' rows, or their changes; return whether the store answered."""
         started = now_s()
-        read, is_full = self._read_rows(SERVER_TABLE, self.server_version, 0.0)
+        fleet = self.cluster.fleet
+        # What peers have told is left out, so that an entry that reads for once reads little.
+        known_version = fleet.store_version if fleet.is_loaded else None
+        read, is_full = self._read_rows(SERVER_TABLE, known_version, 0.0)
         if read.is_err():
             self._record_failure(read.err(), started)
             return False
         self._record_success(started)
         rows = read.ok()
-        self.server_version = rows.version
         changes = read_server_rows(rows.rows)
         self._report_unreadable_rows(changes.failures)
         after_outage = self.outage.has_just_ended(now_s())
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -1,6 +1,7 @@
 """Backend servers that leave while entries are replaced, cut off or slow, in virtual time."""
 
 import unittest
+from unittest.mock import patch
 
 import eventlet
 
@@ -91,6 +92,26 @@
 
         run_fleet(test)
 
+    # An entry that had to read the store for once read all rows that had changed since its own last
+    # read, also those that its peers had told it; on a busy entry that took seconds.
+    def test_entry_reads_only_what_its_peers_have_not_told(self):
+        def test(fleet):
+            eventlet.sleep(6.0)
+            for place in REGION_BY_PLACE:
+                for number in range(20):
+                    fleet.put_server(f"{place}-n{number}", place)
+            eventlet.sleep(3.0)
+            rows = []
+            for gateway in fleet.gateway_by_entry.values():
+                store = gateway.store_reader.store
+                with patch.object(type(store), "read_changes", autospec=True) as read_changes:
+                    gateway.store_reader.read_servers()
+                _, _, after, _ = read_changes.call_args.args
+                rows.append(fleet.tables.version - after)
+            self.assertLess(max(rows), 10)
+
+        run_fleet(test)
+
     # Replies with a large configuration did not fit a message. Entries then passed over one source
     # after the other and read all from the store, on links that this filled.
     def test_large_configuration_does_not_stop_what_entries_tell_each_other(self):
