Pass an update of the fleet as one value, and pause when neither store nor peer has fresh rows

Reading the change as a newcomer: seven parameters of apply_servers were the fields of FleetUpdate. Tests of the exchange, the fleet and the gateway: 67 passed.

--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -49,7 +49,7 @@
     last_seen_s : float
         When its latest record was read.
     changed_generation : int
-        Latest generation of the fleet in which more than its heartbeat changed.
+        Latest generation of the fleet in which more than its row version changed.
     cold_until_s : float
         End of the time in which it counts as cold.
     missing_since_s : float or None
@@ -121,7 +121,7 @@
     is_loaded : bool
         Whether a full snapshot of the servers has been applied.
     generation : int
-        Number that rises with each change except heartbeats.
+        Number that rises with each change except that of a row version alone.
     """
 
     server_by_id: dict[str, FleetServer] = Factory(dict)
@@ -190,7 +190,7 @@
         Returns
         -------
         tuple[list[ServerRecord], list[str]]
-            Records that changed more than a heartbeat, and ids of servers that were removed.
+            Records that changed more than their row version, and ids of servers that were removed.
         """
         changed = [one for one in records if self.apply_record(one, now_s)]
         removed = [
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -9,6 +9,7 @@
 
 from figfold.core.codes import Code
 from figfold.core.confirmation import StoreHealth
+from figfold.core.traffic.fleet import FleetUpdate
 from figfold.core.traffic.outage import OutageTracker
 from figfold.entry.clock import now_s
 from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE
@@ -136,47 +137,61 @@
                 after_outage=after_outage,
                 ms=round((now_s() - started) * 1000),
             ).info("servers-read")
-        self.apply_servers(
-            changes.records, changes.removed_ids, is_full, after_outage, rows.version, "store"
+        update = FleetUpdate(
+            generation=0,
+            is_snapshot=is_full,
+            records=changes.records,
+            removed_ids=changes.removed_ids,
+            evacuated_places=fleet.evacuated_places,
+            store_version=rows.version,
         )
+        self.apply_servers(update, after_outage, "store")
         self.cluster.servers_read_s = max(self.cluster.servers_read_s, started)
         return True
 
-    def apply_servers(
-        self, records, removed_ids, is_full, after_outage, store_version, source, missing=()
-    ):
+    def apply_servers(self, update, after_outage, source):
         """Apply the servers that the store or a peer has sent to the fleet.
 
         Parameters
         ----------
-        is_full : bool
-            Whether the records are those of all servers.
-        store_version : int
-            Version of the store up to which the records are complete.
+        update : FleetUpdate
+        after_outage : bool
+            Whether the rows of live servers may be missing, as the store has just come back.
         source : str
             ``store`` or the name of a peer, for the log.
-        missing : iterable of MissingServer
-            Servers that a peer knows as missing.
         """
         fleet = self.cluster.fleet
         now = now_s()
         generation, missing_before = fleet.generation, fleet.missing_ids()
-        if is_full:
+        if update.is_snapshot:
             removed = fleet.apply_snapshot(
-                records, now, after_outage and fleet.is_loaded, store_version, missing
+                update.records,
+                now,
+                after_outage and fleet.is_loaded,
+                update.store_version,
+                update.missing,
             )
         else:
             changed, removed = fleet.apply_changes(
-                records, removed_ids, now, after_outage, store_version, missing
+                update.records,
+                update.removed_ids,
+                now,
+                after_outage,
+                update.store_version,
+                update.missing,
             )
             for record in changed:
                 self._log_changed(record, source)
         removed += fleet.evict_missing(now)
         for server_id in fleet.missing_ids() - missing_before:
-            self.log.bind(server=server_id, whole=is_full, source=source).info("server-missing")
+            self.log.bind(server=server_id, whole=update.is_snapshot, source=source).info(
+                "server-missing"
+            )
         for server_id in removed:
             self.on_server_removed(server_id)
-            self.log.bind(server=server_id, whole=is_full, source=source).info("server-gone")
+            self.log.bind(server=server_id, whole=update.is_snapshot, source=source).info(
+                "server-gone"
+            )
         if fleet.generation != generation:
             self.cluster.notify_change()
 
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -132,25 +132,23 @@
             is_fresh = self.cluster.servers_age_s(started) <= MAX_SOURCE_AGE_S
             if is_fresh and self._ask_peer(source):
                 return 0.0
-            self._read_store_directly()
-            return SOURCE_POLL_S
+            return SOURCE_POLL_S if self._read_store_directly() else ERROR_PAUSE_S
         if self.store_reader.read_servers():
             return max(0.0, self.settings.server_read_interval_s - (now_s() - started))
         self._ask_fallback()
         return ERROR_PAUSE_S
 
     def _read_store_directly(self):
-        """Read the store instead of asking the source for its rows."""
+        """Read the store instead of asking the source; return whether there were fresh rows."""
         if not self.store_reader.read_servers():
-            self._ask_fallback()
-            return
+            return self._ask_fallback()
         if now_s() - self.cluster.operator_read_s > MAX_SOURCE_AGE_S:
             self.store_reader.reread_operator_rows()
+        return True
 
     def _ask_fallback(self):
         name = self.source_selector.fallback(self._place_by_live_entry(), now_s())
-        if name:
-            self._ask_peer(name)
+        return bool(name) and self._ask_peer(name)
 
     def _current_source(self):
         return self.source_selector.choose(self._place_by_live_entry(), now_s())
@@ -202,15 +200,7 @@
         self.store_reader.apply_evacuations(
             changes.evacuated_places, changes.evacuations_version, name
         )
-        self.store_reader.apply_servers(
-            changes.records,
-            changes.removed_ids,
-            changes.is_snapshot,
-            False,
-            changes.store_version,
-            name,
-            changes.missing,
-        )
+        self.store_reader.apply_servers(changes, False, name)
         self.cluster.servers_read_s = max(self.cluster.servers_read_s, servers_read_s)
         if reply.configuration_version > self._configuration_version():
             self.store_reader.reread_operator_rows()
--- a/test/test_traffic_fleet.py
+++ b/test/test_traffic_fleet.py
@@ -203,7 +203,7 @@
         _apply_update(source, follower, generation)
         self.assertEqual(_state(source), _state(follower))
 
-    def test_heartbeat_does_not_change_the_generation(self):
+    def test_row_version_alone_does_not_change_the_generation(self):
         fleet = make_fleet()
         generation = fleet.generation
         fleet.apply_record(make_record("s0", row_version=2), 1.0)
