--- a/test/soak_leaving.py
+++ b/test/soak_leaving.py
@@ -40,7 +40,7 @@
     stable_window_s: float
 
 
-# The links of the grown deployments have 5 to 200 Mbit/s, on which replies wait behind answers.
+# The links of the grown deployments have 5 to 100 Mbit/s, on which replies wait behind answers.
 CARRICK = Bounds(0.055, (0.0, 0.0, 0.02), 2.5, 4.0)
 BULWAGAN = Bounds(0.012, (0.0, 0.0, 0.02), 2.0, 3.0)
 CARRICK_GROWN = Bounds(0.055, (0.0, 0.0, 0.05, 0.2, 0.4), 4.0, 4.0)
