--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -159,7 +159,7 @@
         return False
 
     def apply_snapshot(self, records, now_s, after_outage, store_version, missing=()):
-        """Apply all servers as of a version of the store; return the ids that were removed.
+        """Apply all servers as of a version of the store.
 
         Parameters
         ----------
@@ -170,28 +170,20 @@
             may be missing.
         store_version : int
         missing : iterable of MissingServer
-        """
-        ids = set()
-        for record in records:
-            ids.add(record.id)
-            self.apply_record(record, now_s)
-        self.is_loaded = True
-        absent = [one for one in self.server_by_id if one not in ids]
-        removed = [
-            one for one in absent if self.apply_removal(one, now_s, after_outage, store_version)
-        ]
-        removed += self._apply_missing(missing, now_s, store_version)
-        self.store_version = max(self.store_version, store_version)
-        return removed
-
-    def apply_changes(self, records, removed_ids, now_s, after_outage, store_version, missing=()):
-        """Apply the changes up to a version of the store.
+            Servers that a peer knows as missing.
 
         Returns
         -------
         tuple[list[ServerRecord], list[str]]
             Records that changed more than their row version, and ids of servers that were removed.
         """
+        ids = {record.id for record in records}
+        absent_ids = [one for one in self.server_by_id if one not in ids]
+        self.is_loaded = True
+        return self.apply_changes(records, absent_ids, now_s, after_outage, store_version, missing)
+
+    def apply_changes(self, records, removed_ids, now_s, after_outage, store_version, missing=()):
+        """Apply the changes up to a version of the store; see `apply_snapshot`."""
         changed = [one for one in records if self.apply_record(one, now_s)]
         removed = [
             one
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -163,11 +163,12 @@
         fleet = self.cluster.fleet
         now = now_s()
         generation, missing_before = fleet.generation, fleet.missing_ids()
+        was_loaded = fleet.is_loaded
         if update.is_snapshot:
-            removed = fleet.apply_snapshot(
+            changed, removed = fleet.apply_snapshot(
                 update.records,
                 now,
-                after_outage and fleet.is_loaded,
+                after_outage and was_loaded,
                 update.store_version,
                 update.missing,
             )
@@ -180,6 +181,7 @@
                 update.store_version,
                 update.missing,
             )
+        if was_loaded:
             for record in changed:
                 self._log_changed(record, source)
         removed += fleet.evict_missing(now)
--- a/test/test_gateway_knowledge.py
+++ b/test/test_gateway_knowledge.py
@@ -77,6 +77,21 @@
         self.apply("e1", {"s0": 1, "s1": 4}, 0.1, store_version=4, is_snapshot=False)
         self.assertEqual(self.ids(), {"s0", "s1"})
 
+    # A server that a snapshot showed as leaving left no line, so that a late request could not be
+    # traced at entries that had learned it so.
+    def test_changes_by_a_snapshot_are_logged(self):
+        self.apply("e1", {"s0": 1, "s1": 1}, 0.5, store_version=2)
+        lines = []
+        sink = logger.add(lambda line: lines.append((line.record["message"], line.record["extra"])))
+        self.addCleanup(logger.remove, sink)
+        record = make_record("s0", row_version=3, is_leaving=True)
+        update = FleetUpdate(6, True, (record, make_record("s1")), (), frozenset(), 3)
+        self.store_sync._apply_reply("e1", KnowledgeReply(b"", update, 1, 0.1, 0.0), self.now_s)
+        changed = [
+            (extra["server"], extra["leaving"]) for name, extra in lines if "changed" in name
+        ]
+        self.assertEqual(changed, [("s0", True)])
+
     def test_stale_data_are_rejected(self):
         self.assertFalse(self.apply("e1", {"s0": 1}, 5.0, store_version=1))
         self.assertEqual(self.ids(), set())
--- a/test/test_traffic_fleet.py
+++ b/test/test_traffic_fleet.py
@@ -38,7 +38,7 @@
         self.assertNotIn("s0", usable_ids(fleet))
         self.assertFalse(fleet.accepts_requests("s0"))
 
-    def test_older_row_of_a_leaving_process_is_ignored(self):
+    def test_older_record_of_a_leaving_process_is_ignored(self):
         fleet = make_fleet()
         fleet.apply_record(make_record("s0", is_leaving=True, row_version=5), 1.0)
         fleet.apply_record(make_record("s0", row_version=4), 1.1)
@@ -80,7 +80,8 @@
     def test_leaving_server_that_is_missing_is_removed_at_once(self):
         fleet = make_fleet()
         fleet.apply_record(make_record("s0", is_leaving=True, row_version=2), 1.0)
-        self.assertEqual(fleet.apply_snapshot([], 20.0, after_outage=True, store_version=9), ["s0"])
+        _, removed = fleet.apply_snapshot([], 20.0, after_outage=True, store_version=9)
+        self.assertEqual(removed, ["s0"])
 
 
 class MissingAtPeerTest(unittest.TestCase):
@@ -147,7 +148,8 @@
     def test_earlier_snapshot_removes_no_server_that_registered_later(self):
         fleet = make_fleet()
         fleet.apply_record(make_record("new", row_version=8), 1.0)
-        self.assertEqual(fleet.apply_snapshot([], 2.0, False, 7), [f"s{i}" for i in range(4)])
+        _, removed = fleet.apply_snapshot([], 2.0, False, 7)
+        self.assertEqual(removed, [f"s{i}" for i in range(4)])
         self.assertEqual(usable_ids(fleet), {"new"})
         self.assertEqual(fleet.store_version, 7)
 
@@ -203,7 +205,7 @@
         _apply_update(source, follower, generation)
         self.assertEqual(_state(source), _state(follower))
 
-    def test_row_version_alone_does_not_change_the_generation(self):
+    def test_heartbeat_does_not_change_the_generation(self):
         fleet = make_fleet()
         generation = fleet.generation
         fleet.apply_record(make_record("s0", row_version=2), 1.0)
