--- a/figfold/core/traffic/outage.py
+++ b/figfold/core/traffic/outage.py
@@ -17,8 +17,8 @@
 class OutageTracker:
     """Tracks the failed calls of the store by one entry.
 
-    The time since the last successful call shows no outage, as an entry that gets the rows from a
-    peer makes no calls.
+    The time since the last successful call does not show an outage, since an entry that gets the
+    rows from a peer makes no calls.
     """
 
     _failing_since_s: float = inf
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -38,7 +38,7 @@
 HEAD_LIMIT_BYTES = 256 * 1024
 # The most bytes that the framing of an unsized answer may add, with its trailers.
 FRAMING_LIMIT_BYTES = 256 * 1024
-# Bytes read from one socket after which other green threads get a turn.
+# Bytes read from one socket after which other green threads may run.
 YIELD_BYTES = 256 * 1024
 HOP_BY_HOP = frozenset(
     (
@@ -74,16 +74,17 @@
 
 
 class AnswerSocket(GreenSocket):
-    """A green socket that reads an answer: it bounds its size and tells a reset from its end.
+    """A green socket for reading an answer, with a limit on its size.
 
-    For a reset, the library's own class returns no bytes, which would look like the end of an
-    answer without a length. The library also never lets other green threads run while there is
-    something to read, so that a server that sends without end would stop the whole process.
+    The library's own class returns no bytes when the connection was reset, which would look like
+    the end of an answer without a length; this one raises an error. The library also does not
+    yield while data are available, so that a server that never stops sending would block the
+    whole process.
 
     Attributes
     ----------
     allowed_bytes : int
-        How much may still be read before the bytes count as no answer.
+        Number of bytes that may still be read; more are an error.
     """
 
     allowed_bytes = HEAD_LIMIT_BYTES
@@ -103,7 +104,7 @@
     def _count(self, size):
         self.allowed_bytes -= size
         if self.allowed_bytes < 0:
-            raise ValueError("more bytes than an answer may have")
+            raise ValueError("answer is too large")
         self._unyielded_bytes += size
         if self._unyielded_bytes >= YIELD_BYTES:
             self._unyielded_bytes = 0
@@ -238,7 +239,7 @@
         sock = connection.sock
         response = connection.getresponse()
         length = _content_length(response)
-        # The length is up to the server, and a sized answer is passed on as it is read.
+        # A sized answer is streamed to the caller and needs no limit.
         sock.allowed_bytes = (
             inf if length is not None else UNSIZED_ANSWER_LIMIT_BYTES + FRAMING_LIMIT_BYTES
         )
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -55,7 +55,7 @@
     def read_operator_changes(self):
         """Read the operator's rows or wait for changes; return the pause before the next call."""
         started = now_s()
-        # A poll that waits confirms the rows only at its end; a new reader confirms them first.
+        # A long poll confirms the rows only when it ends, so old rows are read without waiting.
         is_confirmed = started - self.cluster.operator_read_s <= UNCONFIRMED_S
         wait_s = self.settings.configuration_wait_s if is_confirmed else 0.0
         read, is_full = self._read_rows(OPERATOR_TABLE, self.operator_version, wait_s)
@@ -84,7 +84,7 @@
         self.cluster.operator_read_s = max(self.cluster.operator_read_s, started)
 
     def skip_operator_changes(self, store_version):
-        """Leave out the changes up to a version from the next read, as a peer has told them."""
+        """Skip the changes up to a version in the next read, since a peer has sent them."""
         self.operator_version = max(self.operator_version or 0, store_version)
 
     def _apply_operator_rows(self, changes, is_full, store_version):
@@ -117,7 +117,7 @@
         """Read the servers' rows, or their changes; return whether the store answered."""
         started = now_s()
         fleet = self.cluster.fleet
-        # What peers have told is left out, so that an entry that reads for once reads little.
+        # Changes that peers have already sent need not be read again.
         known_version = fleet.store_version if fleet.is_loaded else None
         read, is_full = self._read_rows(SERVER_TABLE, known_version, 0.0)
         if read.is_err():
@@ -219,7 +219,7 @@
         return None if read.is_err() else read_entry_rows(read.ok().rows)
 
     def _read_rows(self, table, version, wait_s):
-        """Read the changes of a table since a version, or all rows if these are not to be had.
+        """Read the changes of a table since a version, or all rows if the store has lost these.
 
         Returns
         -------
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -43,7 +43,7 @@
     source_selector: SyncSourceSelector
     _generation_by_source: dict = field(factory=dict)
     _last_source: str = ""
-    # The loop of the operator's rows reads them, so that they never delay those of the servers.
+    # Set by the servers' loop for the operator's loop, so that one read does not delay the other.
     _needs_operator_rows: bool = False
     _last_snapshot_s: float = float("-inf")
 
@@ -66,7 +66,7 @@
         """Return the reply to a peer, once there is a change for it or after a short wait."""
         started = now_s()
         generation = request.generation if request.incarnation == self.incarnation else 0
-        # Rows that become stale meanwhile are no answer; the peer must learn of that at once.
+        # A stale reply is of no use, so the peer gets it at once and can read the store.
         fresh_s = MAX_SOURCE_AGE_S - self._servers_age_s(started)
         if fresh_s > 0.0 and not self._has_changes(request, generation):
             with Timeout(min(REPLY_WAIT_S, fresh_s), False):
@@ -85,7 +85,7 @@
             configuration_version=self._configuration_version(),
         )
         if text and try_encode(reply).is_err():
-            # The peer then reads the configuration from the store; the servers must still arrive.
+            # The peer then reads the configuration from the store.
             return evolve(reply, configuration=b"")
         return reply
 
@@ -134,7 +134,7 @@
             self.log.bind(source=source, before=self._last_source).info("source-changed")
             self._last_source = source
         if source != self.settings.name:
-            # A peer may keep the request waiting, so that old rows are renewed from the store.
+            # A peer may hold the request for a while, so stale rows are read from the store first.
             is_fresh = self.cluster.servers_age_s(started) <= MAX_SOURCE_AGE_S
             if is_fresh and self._ask_peer(source):
                 return 0.0
@@ -185,9 +185,9 @@
     def _apply_reply(self, name, reply, asked_s):
         """Apply the reply to a request that was sent at ``asked_s``; return whether it was fresh.
 
-        The peer created the reply no earlier than it has held the request after that time. Its
-        ages count from there, so that the time on the way can only make them seem greater. Were it
-        left out, entries that ask each other would keep old rows fresh for ever.
+        The ages count from the earliest time at which the peer can have created the reply, so that
+        the transit time can only increase them. Otherwise, entries that ask each other would count
+        old rows as fresh without end.
         """
         replied_s = asked_s + reply.held_s
         servers_read_s = replied_s - reply.servers_age_s
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -13,7 +13,7 @@
 REGION_DELAY_S = 0.055
 # Time after which no entry may send requests to a server whose leaving the store has accepted.
 DRAIN_S = 2.5
-# With a delay of 0.4 s, seed 43 also needs the servers' rows not to wait for the operator's.
+# Seed 43 covers slow reads of the operator's rows.
 SOAK_SEEDS = (*range(1, 7), 43)
 PROCESS_SOAK_SEED = 1
 
@@ -74,9 +74,9 @@
 
         run_fleet(test)
 
-    # Each way of a reply took its time off the age of the rows, so that entries without the store
-    # that asked each other went on for long by what they had known before.
-    def test_rows_of_entries_without_the_store_seem_no_newer_than_they_are(self):
+    # The transit time of each reply was missing in the age of its rows, so that entries without the
+    # store that asked each other counted old rows as fresh.
+    def test_age_of_rows_is_not_underestimated_without_the_store(self):
         def test(fleet):
             entries = list(fleet.process_by_entry)
             fleet.extra_delay_by_entry |= dict.fromkeys(entries, 0.25)
@@ -94,8 +94,8 @@
         run_fleet(test)
 
     # An entry that had to read the store for once read all rows that had changed since its own last
-    # read, also those that its peers had told it; on a busy entry that took seconds.
-    def test_entry_reads_only_what_its_peers_have_not_told(self):
+    # read, also those that its peers had sent; on a busy entry that took seconds.
+    def test_entry_reads_only_changes_that_its_peers_have_not_sent(self):
         def test(fleet):
             eventlet.sleep(6.0)
             for place in REGION_BY_PLACE:
@@ -120,7 +120,7 @@
 
     # Replies with a large configuration did not fit a message. Entries then passed over one source
     # after the other and read all from the store, on links that this filled.
-    def test_large_configuration_does_not_stop_what_entries_tell_each_other(self):
+    def test_large_configuration_does_not_stop_the_exchange_between_entries(self):
         for route_count in (2500, 20000):
             with self.subTest(route_count=route_count):
 
