Check in the soak of processes that an entry is not ready from the SIGTERM on

Found by reading the change again: the check began 2 s after the signal, when the entries of this soak have ended (their grace time is 2 s), so that it could not fail and looked as if it had held. It now begins after 0.5 s and the questions are counted.

--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -20,7 +20,8 @@
 DRAIN_S = 2.5
 STABLE_WINDOW_S = 4.0
 LOOKUP_S = STABLE_WINDOW_S + 3.0
-READY_S = 4.0
+# An entry answers that it is not ready from the SIGTERM on; this is for the signal to arrive.
+NOT_READY_S = 0.5
 GRACE_S = 2.0  # Of the entries of this deployment.
 PAUSE_S = 0.02  # Of a caller between two requests.
 CALL_TIMEOUT_S = 4.0
@@ -169,7 +170,8 @@
             if self.random.random() < 0.02:
                 entry.terminate()
             stopped_s = time.monotonic() - began_s
-            if entry.is_ready() and stopped_s > READY_S / 2:
+            self.counts["ready asked"] += stopped_s > NOT_READY_S
+            if entry.is_ready() and stopped_s > NOT_READY_S:
                 self.violations.append(f"{name} is ready {stopped_s:.1f} s after SIGTERM")
             if stopped_s > GRACE_S + 1.0:
                 self.violations.append(f"{name} still runs {stopped_s:.1f} s after SIGTERM")
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -152,6 +152,7 @@
         self.assertEqual(violations, [])
         self.assertGreater(counts[200], 1000)
         self.assertGreater(counts["terminate"], 0)
+        self.assertGreater(counts["ready asked"], 0)
 
 
 if __name__ == "__main__":
