Make the checks of late requests and of look-ups in the soak of processes able to fail

Found by taking the mechanisms out on a scratch copy: with servers that leave used on, the soak found nothing, since one outage of the store excused every request of a run; with entries suspected after 30 s it found nothing, since hardly one stayed ended for the 7 s of the rule. An address is looked for whole, not as the start of another.

--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections import Counter
+from math import inf
 
 import eventlet
 from attrs import Factory, define, field
@@ -42,7 +43,9 @@
     Attributes
     ----------
     disturbed_s_by_entry : dict[str, float]
-        When an entry was last disturbed; the store has the empty name.
+        When an entry was last disturbed.
+    store_outages : list[list[float]]
+        Start and end of each outage of the store.
     ended_s_by_address : dict[str, float]
         When the entry with this caller address ended, while it has not started again.
     left_s_by_server : dict[str, float]
@@ -54,6 +57,7 @@
     duration_s: float
     entry_by_name: dict = Factory(dict)
     disturbed_s_by_entry: dict = Factory(dict)
+    store_outages: list = Factory(list)
     ended_s_by_address: dict = Factory(dict)
     left_s_by_server: dict = Factory(dict)
     calls: list = Factory(list)
@@ -103,7 +107,7 @@
             self._leave: 8,
             self._add_server: 6,
             self._terminate: 4,
-            self._kill: 2,
+            self._kill: 4,
             self._hang_up: 3,
             self._change_configuration: 3,
             self._stop_store: 0.5,
@@ -191,7 +195,7 @@
         entry.kill()
         self.ended_s_by_address[entry.address["caller"]] = time.monotonic()
         self._disturb(name)
-        eventlet.sleep(self.random.choice((0.0, 0.3, 12.0)))
+        eventlet.sleep(self.random.choice((0.0, 0.3, 10.0)))
         if time.monotonic() >= self._ends_s:
             return
         self.entry_by_name[name] = self.deployment.start_entry_process(name, entry.place)
@@ -214,12 +218,12 @@
     def _stop_store(self):
         if not self.deployment.rows.is_down:
             self.deployment.rows.is_down = True
-            self._disturb("")
+            self.store_outages.append([time.monotonic(), inf])
             eventlet.spawn_after(self.random.uniform(0.3, 2.0), self._restart_store)
 
     def _restart_store(self):
         self.deployment.rows.is_down = False
-        self._disturb("")
+        self.store_outages[-1][1] = time.monotonic()
 
     def _drop_history(self):
         self.deployment.rows.drop_history()
@@ -276,7 +280,8 @@
                     continue
                 for address, ended_s in list(self.ended_s_by_address.items()):
                     ended_for_s = time.monotonic() - ended_s
-                    if ended_for_s > LOOKUP_S and address.encode() in body:
+                    self.counts["ended asked"] += ended_for_s > LOOKUP_S
+                    if ended_for_s > LOOKUP_S and f'"{address}"'.encode() in body:
                         self.violations.append(
                             f"{name} names {address}, which ended {ended_for_s:.1f} s ago"
                         )
@@ -300,16 +305,22 @@
                 )
         for server_id, left_s in self.left_s_by_server.items():
             arrivals = self.deployment.endpoint_by_id[server_id].arrived_s_by_request
-            late = [at_s - left_s for at_s in arrivals.values() if at_s > left_s + DRAIN_S]
-            if late and not self._store_was_disturbed(left_s, max(arrivals.values())):
+            late_s = [
+                at_s - left_s
+                for at_s in arrivals.values()
+                if at_s > left_s + DRAIN_S and self._store_was_calm(at_s)
+            ]
+            if late_s and self._store_was_calm(left_s):
                 self.violations.append(
-                    f"{len(late)} requests reached {server_id}, the last {max(late):.1f} s after it"
-                    " left"
+                    f"{len(late_s)} requests reached {server_id}, the last {max(late_s):.1f} s"
+                    " after it left"
                 )
 
-    def _store_was_disturbed(self, from_s, until_s):
-        disturbed_s = self.disturbed_s_by_entry.get("", 0.0)
-        return from_s - STABLE_WINDOW_S <= disturbed_s <= until_s
+    def _store_was_calm(self, at_s):
+        return all(
+            at_s < began_s or at_s > ended_s + STABLE_WINDOW_S
+            for began_s, ended_s in self.store_outages
+        )
 
 
 def _name_of(entry):
