Refuse each odd row, item, header and peer's field alone, and go on with the rest

Cause: nothing bounded what passed the boundary to the platform. A port of other digits, a number beyond 64 bits or a deeply nested configuration raised, so that the loop that follows the list failed at the same row again and again; a row that was accepted but did not fit a message made every reply between entries fail; one odd item of the store's answer failed its whole batch.

Now rows have integers of 64 bits, finite numbers, IP addresses, names and a bounded depth, or are refused, counted and logged once. The row of a server that another writer overwrites makes the server rest like one that is missing after an outage; its own next row restores it. Peers' records without slots are refused; a peer's message that cannot be answered is logged.

--- a/figfold/config/section_reader.py
+++ b/figfold/config/section_reader.py
@@ -8,13 +8,13 @@
 
 from figfold.config.ini_file import suggest_name
 from figfold.config.options import OptionSet
+from figfold.core.addresses import parse_address
 from figfold.core.codes import Code
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,32}")
 INTEGER_PATTERN = re.compile(r"-?[0-9]{1,18}")
-NUMBER_PATTERN = re.compile(r"-?[0-9]{1,18}(\.[0-9]{1,9})?")
-HIGHEST_PORT = 65535
+NUMBER_PATTERN = re.compile(r"-?[0-9]{1,18}(\.[0-9]{1,30})?([eE][+-]?[0-9]{1,3})?")
 MS_PER_S = 1000.0
 
 
@@ -107,7 +107,7 @@
         A lowest port of zero admits listening addresses whose port the kernel chooses.
         """
         value = self.text(name)
-        if value and not is_address(value, lowest_port):
+        if value and parse_address(value, lowest_port) is None:
             self.add_failure(
                 name, "not an IP address with a port", "write for example 10.0.0.1:8080"
             )
@@ -148,18 +148,3 @@
                     name, f"{word} is not an HTTP method", "write for example GET HEAD"
                 )
         return frozenset(words)
-
-
-def is_address(text, lowest_port=1):
-    """Return whether the text is an IP address with a port, IPv6 in brackets."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not re.fullmatch("[0-9]{1,5}", port):
-        return False
-    if not lowest_port <= int(port) <= HIGHEST_PORT:
-        return False
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        address = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return False
-    return (address.version == 6) == bracketed
--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -174,14 +174,14 @@
             may be missing.
         store_version : int
         missing : iterable of MissingServer
-            Servers that a peer knows as missing.
+            Servers that a peer knows as missing, or whose rows cannot be read.
 
         Returns
         -------
         tuple[list[ServerRecord], list[str]]
             Records that changed more than their row version, and ids of servers that were removed.
         """
-        ids = {record.id for record in records}
+        ids = {one.id for one in (*records, *missing)}
         absent_ids = [one for one in self.server_by_id if one not in ids]
         self.is_loaded = True
         return self.apply_changes(records, absent_ids, now_s, after_outage, store_version, missing)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -11,6 +11,7 @@
 from figfold.core.entries import MembershipSettings
 from figfold.core.membership import Membership
 from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
+from figfold.core.names import is_name
 from figfold.core.quarantine import Quarantine
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.core.traffic.placement import Placement
@@ -56,6 +57,8 @@
 STOP_POLL_S = 0.02
 REGISTER_RETRY_S = 1.0
 CONFIRMATION_TTL_S = 4.0
+MAX_LOGGED_CAUSES = 100  # Causes of failed peer messages that are logged once each.
+MAX_CAUSE_CHARS = 400
 # Settings that an entry writes to its row in the store.
 REGISTERED_SETTINGS = ("place", "peer_address", "metrics_address")
 # Settings that need a restart to change.
@@ -101,6 +104,7 @@
     quarantine: Quarantine = None
     stage: str = "serving"
     _listeners: list = field(factory=list)
+    _logged_causes: set = field(factory=set)
 
     @classmethod
     def from_config(cls, settings, log, event_log):
@@ -171,7 +175,9 @@
         host, port = settings.peer_address.rsplit(":", 1)
         networks = tuple(ip_network(text) for text in settings.peers.allowed_networks)
         self.peer_server = PeerServer.from_config(
-            PeerServerSettings(host, int(port), networks), self.peers.handle
+            PeerServerSettings(host, int(port), networks),
+            self.peers.handle,
+            self._on_peer_message_failure,
         )
 
         self.store_sync = StoreSync.from_config(
@@ -359,6 +365,12 @@
         self.request_runner.selector.remove_server(server_id)
         self.request_runner.sender.remove_server(server_id)
 
+    def _on_peer_message_failure(self, kind, cause):
+        self.metrics.count("peer_message_failures", kind=kind)
+        if len(self._logged_causes) < MAX_LOGGED_CAUSES and cause not in self._logged_causes:
+            self._logged_causes.add(cause)
+            self.log.bind(kind=kind, cause=cause[:MAX_CAUSE_CHARS]).error("peer-message-failed")
+
     def _on_quarantine(self, fingerprint, expires_in_s):
         self.quarantine.merge_quarantined(fingerprint, expires_in_s, now_s())
 
@@ -374,7 +386,8 @@
     def _loads(self, now):
         """Return the free slots of this region by service, for overflow from other regions."""
         configuration = self.cluster.configuration
-        services = sorted(configuration.service_by_name) if configuration else ()
+        names = configuration.service_by_name if configuration else ()
+        services = sorted(name for name in names if is_name(name))
         selector = self.request_runner.selector
         return tuple(
             ServiceLoad(name, 0, 0, int(selector.free_slots(name, self.settings.region, now)))
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -9,7 +9,7 @@
 
 from figfold.core.codes import Code
 from figfold.core.confirmation import StoreHealth
-from figfold.core.traffic.fleet import FleetUpdate
+from figfold.core.traffic.fleet import FleetUpdate, MissingServer
 from figfold.core.traffic.outage import OutageTracker
 from figfold.entry.clock import now_s
 from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE
@@ -64,6 +64,7 @@
         self._record_success(started)
         rows = read.ok()
         self.operator_version = rows.version
+        self._report_unreadable_rows(rows.failures)
         self._apply_operator_rows(read_operator_rows(rows.rows), is_full, rows.version)
         self.cluster.operator_read_s = now_s()
         if self.cluster.configuration is not None:
@@ -80,6 +81,7 @@
         self._record_success(started)
         rows = read.ok()
         self.operator_version = rows.version
+        self._report_unreadable_rows(rows.failures)
         self._apply_operator_rows(read_operator_rows(rows.rows), is_full, rows.version)
         self.cluster.operator_read_s = max(self.cluster.operator_read_s, started)
 
@@ -126,7 +128,7 @@
         self._record_success(started)
         rows = read.ok()
         changes = read_server_rows(rows.rows)
-        self._report_unreadable_rows(changes.failures)
+        self._report_unreadable_rows(rows.failures + changes.failures)
         after_outage = self.outage.has_just_ended(now_s())
         if rows.rows:
             self.log.bind(
@@ -144,6 +146,8 @@
             removed_ids=changes.removed_ids,
             evacuated_places=fleet.evacuated_places,
             store_version=rows.version,
+            # Such a row names no server to use. A server that is up writes its row again.
+            missing=tuple(MissingServer(one, 0.0) for one in changes.unreadable_ids),
         )
         self.apply_servers(update, after_outage, "store")
         self.cluster.servers_read_s = max(self.cluster.servers_read_s, started)
--- a/figfold/platform/client.py
+++ b/figfold/platform/client.py
@@ -9,7 +9,7 @@
 from figfold.platform.instances import INSTANCE_TABLE, Listing, listing_tag, read_instances
 from figfold.platform.objects import ObjectStore
 from figfold.platform.row_states import RowStateCache
-from figfold.platform.rows import RowStore, ignore_count
+from figfold.platform.rows import RowStore, ignore_count, require_all_rows
 
 DEFAULT_TIMEOUT_S = 2.0
 DEFAULT_MAX_CONNECTIONS = 4
@@ -155,7 +155,7 @@
 
     def list_rows(self, table, prefix=""):
         """Return Ok(tuple of Row) with all rows whose names start with the prefix."""
-        read = self._row_store(table).read_table(table)
+        read = self._row_store(table).read_table(table).and_then(require_all_rows)
         rows = read.map(lambda one: tuple(self._make_row(row, one) for row in one.rows))
         chosen = rows.map(lambda all_rows: tuple(r for r in all_rows if r.row.startswith(prefix)))
         return self._record_outcome("list_rows", chosen)
@@ -190,7 +190,7 @@
             return self._record_outcome("list_instances", unchanged)
         if unchanged.ok():
             return self._record_outcome("list_instances", Ok(known))
-        read = self._row_store(INSTANCE_TABLE).read_table(INSTANCE_TABLE)
+        read = self._row_store(INSTANCE_TABLE).read_table(INSTANCE_TABLE).and_then(require_all_rows)
         listing = read.and_then(lambda rows: self._make_listing(rows, known))
         return self._record_outcome("list_instances", listing)
 
@@ -215,6 +215,7 @@
         if state is None:
             return Ok(False)
         changes = self._row_store(table).read_changes(table, state.store_version, 0.0, slack_s=0.0)
+        changes = changes.and_then(require_all_rows)
         if changes.is_err():
             is_history_lost = changes.err().code is Code.STORE_HISTORY_LOST
             return Ok(False) if is_history_lost else changes
--- a/figfold/platform/decoding.py
+++ b/figfold/platform/decoding.py
@@ -3,12 +3,14 @@
 import base64
 import binascii
 import json
-import math
+import re
 
 from attrs import frozen
 from result import Err, Ok
 
+from figfold.core.addresses import parse_address
 from figfold.core.codes import Code, Failure
+from figfold.core.names import is_name
 from figfold.core.traffic.configuration import (
     CallerLimits,
     Configuration,
@@ -25,6 +27,13 @@
 READY = "ready"
 DRAINING = "draining"
 REMEDY = "compare it with the platform's protocol"
+# Bounds of what the rest of the program and the messages between entries can hold.
+MAX_INTEGER = 2**63 - 1
+MAX_SLOTS = 2**16 - 1
+MAX_NUMBER = 1e9
+MAX_TEXT_CHARS = 2000
+MAX_NESTING = 64
+VERSION_PATTERN = re.compile("r[0-9]{1,18}")
 
 
 @frozen
@@ -47,8 +56,8 @@
     def value(self):
         """The content parsed as JSON; None if it is missing or invalid."""
         try:
-            return None if self.data is None else json.loads(self.data)
-        except (ValueError, RecursionError):
+            return None if self.data is None else parse_json(self.data)
+        except FieldError:
             # Other programs write to these tables too; the code that decodes the value reports it.
             return None
 
@@ -57,20 +66,43 @@
     """A field is missing, of another type, or out of bounds."""
 
 
-def decode_row(item):
-    """Return a row from an item of the store's answer; invalid content becomes None.
+def parse_json(data):
+    """Return the value of a JSON text.
 
     Raises
     ------
     FieldError
-        If the item has no table or key.
+        If it is not valid, or nested deeper than `MAX_NESTING`.
     """
-    table, key = _text(item, "table"), _text(item, "key")
-    version = item.get("ver", 0)
-    removed = item.get("tombstone") is True
-    return StoredRow(
-        table, key, None if removed else _decode_base64(item.get("value")), version, removed
-    )
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise FieldError(f"not valid JSON: {error}") from error
+    # A deeper value could be read here and fail elsewhere, where more of the stack is in use.
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [inner for outer in level for inner in _inner_values(outer)]
+        if not level:
+            return value
+    raise FieldError(f"nested more than {MAX_NESTING} deep")
+
+
+def _inner_values(value):
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
+def decode_row(item):
+    """Return Ok(StoredRow) from an item of the store's answer; invalid content becomes None."""
+    try:
+        table, key = _text(item, "table"), _text(item, "key")
+        version = _integer(item, "ver", 0) if "ver" in item else 0
+    except FieldError as error:
+        return Err(Failure(Code.STORE_BAD_ANSWER, f"invalid item of an answer: {error}", REMEDY))
+    is_removed = item.get("tombstone") is True
+    data = None if is_removed else _decode_base64(item.get("value"))
+    return Ok(StoredRow(table, key, data, version, is_removed))
 
 
 def _decode_base64(value):
@@ -97,7 +129,7 @@
                 version=_version(value.get("version")),
                 route_by_name=route_by_name,
                 service_by_name=service_by_name,
-                limits=_limits(value.get("limits") or {}),
+                limits=_limits(value),
             )
         )
     except FieldError as error:
@@ -125,11 +157,11 @@
         if known_services is not None and service not in known_services:
             raise FieldError(f"unknown service {service[:40]!r}")
         record = ServerRecord(
-            id=server_id,
-            service=service,
+            id=_checked_name(server_id, "id"),
+            service=_checked_name(service, "service"),
             address=_address(value),
-            place=_text(info, "zone"),
-            slots=_integer(info, "slots", 1),
+            place=_checked_name(_text(info, "zone"), "zone"),
+            slots=_integer(info, "slots", 1, MAX_SLOTS),
             is_leaving=state == DRAINING,
             row_version=row_version,
             cold_remaining_s=_number(status, "coldRemainingS", 0.0),
@@ -143,6 +175,8 @@
 
 
 def _service(name, item):
+    if not isinstance(item, dict):
+        raise FieldError(f"service {name[:40]!r} is not an object")
     return ServiceRules(
         name=name,
         connection_limit=_integer(item, "maxConnections", 0) if "maxConnections" in item else 0,
@@ -181,22 +215,32 @@
         return (ServiceWeight(_text(item, "service"), 1.0),)
     if not isinstance(split, list):
         raise FieldError("split is not a list")
-    return tuple(ServiceWeight(_text(one, "service"), _number(one, "weight", 0.0)) for one in split)
+    weights = tuple(
+        ServiceWeight(_text(one, "service"), _number(one, "weight", 0.0)) for one in split
+    )
+    if not any(one.weight for one in weights):
+        raise FieldError("split has no weight above zero")
+    return weights
 
 
-def _limits(item):
+def _limits(configuration):
+    item = _object(configuration, "limits") if configuration.get("limits") else {}
     defaults = CallerLimits()
+
+    def limit(name, default):
+        return _number(item, name, 0.0, MAX_INTEGER) if item.get(name) else default
+
     return CallerLimits(
-        header_bytes=int(item.get("maxHeaderBytes") or defaults.header_bytes),
-        body_bytes=int(item.get("maxBodyBytes") or defaults.body_bytes),
-        header_timeout_s=float(item.get("headerTimeoutS") or defaults.header_timeout_s),
-        idle_timeout_s=float(item.get("idleTimeoutS") or defaults.idle_timeout_s),
+        header_bytes=int(limit("maxHeaderBytes", defaults.header_bytes)),
+        body_bytes=int(limit("maxBodyBytes", defaults.body_bytes)),
+        header_timeout_s=limit("headerTimeoutS", defaults.header_timeout_s),
+        idle_timeout_s=limit("idleTimeoutS", defaults.idle_timeout_s),
     )
 
 
 def _version(value):
-    if not isinstance(value, str) or not value.startswith("r") or not value[1:].isdigit():
-        raise FieldError(f"version {value!r:.40} is not of the form r123")
+    if not isinstance(value, str) or not VERSION_PATTERN.fullmatch(value):
+        raise FieldError(f"version {str(value)[:40]!r} is not of the form r123")
     return int(value[1:])
 
 
@@ -211,28 +255,41 @@
     found = item.get(name) if isinstance(item, dict) else None
     if not isinstance(found, str) or not found:
         raise FieldError(f"{name} is not a non-empty string")
+    if len(found) > MAX_TEXT_CHARS:
+        raise FieldError(f"{name} has more than {MAX_TEXT_CHARS} characters")
+    try:
+        found.encode()
+    except UnicodeEncodeError as error:
+        raise FieldError(f"{name} is not valid Unicode") from error
     return found
 
 
+def _checked_name(text, field_name):
+    if not is_name(text):
+        raise FieldError(f"{field_name} {text[:40]!r} is not a name")
+    return text
+
+
 def _address(item):
     text = _text(item, "address")
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise FieldError(f"address {text[:40]!r} is not of the form host:port")
-    return text
+    address = parse_address(text)
+    if address is None:
+        raise FieldError(f"address {text[:40]!r} is not an IP address with a port")
+    return address
 
 
-def _integer(item, name, low):
+def _integer(item, name, low, high=MAX_INTEGER):
     found = item.get(name)
-    if isinstance(found, bool) or not isinstance(found, int) or found < low:
-        raise FieldError(f"{name} is not an integer of at least {low}")
+    if isinstance(found, bool) or not isinstance(found, int) or not low <= found <= high:
+        raise FieldError(f"{name} is not an integer from {low} to {high}")
     return found
 
 
-def _number(item, name, low):
+def _number(item, name, low, high=MAX_NUMBER):
     found = item.get(name)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
         raise FieldError(f"{name} is not a number")
-    if not math.isfinite(found) or found < low:
+    # NaN fails this comparison too.
+    if not low <= found <= high:
         raise FieldError(f"{name} is out of range")
     return float(found)
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -23,6 +23,8 @@
 PERCENT = 100.0
 MS_PER_S = 1000.0
 MIN_DEADLINE_MS = 1
+# Greater numbers count as this one, so that times stay within what timers can hold.
+MAX_HEADER_NUMBER = 1e12
 
 
 @frozen
@@ -181,19 +183,15 @@
         value = float(text or "")
     except ValueError:
         return None
-    return value if 0.0 <= value < inf else None
+    return min(value, MAX_HEADER_NUMBER) if 0.0 <= value < inf else None
 
 
 def _parse_load(text):
     if not text:
         return None
-    parts = text.split(",")
-    try:
-        figures = [float(part) for part in parts]
-    except ValueError:
+    figures = [_parse_number(part) for part in text.split(",")]
+    if len(figures) < 3 or None in figures:
         # Same as a missing header: the entry then relies on its own measurements.
         return None
-    if len(figures) < 3 or min(figures) < 0.0:
-        return None
     slowdown = figures[3] / PERCENT if len(figures) > 3 else 1.0
     return LoadReport(int(figures[0]), int(figures[1]), int(figures[2]), slowdown)
--- a/figfold/platform/rows.py
+++ b/figfold/platform/rows.py
@@ -2,7 +2,6 @@
 
 import base64
 import json
-import math
 from urllib.parse import urlencode
 
 from attrs import define, frozen
@@ -10,7 +9,7 @@
 
 from figfold.core.codes import Code, Failure
 from figfold.platform.answers import bad_answer, read_json
-from figfold.platform.decoding import FieldError, StoredRow, decode_row
+from figfold.platform.decoding import MAX_INTEGER, StoredRow, decode_row
 from figfold.platform.http import StoreHttp
 
 OPERATOR_TABLE = "op"
@@ -33,11 +32,14 @@
     ----------
     store_s : float
         The store's steady clock when it answered, in seconds.
+    failures : tuple[Failure, ...]
+        One for each item of the answer that is not a row; it is left out.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     store_s: float
+    failures: tuple = ()
 
 
 @frozen
@@ -83,7 +85,7 @@
 
         Its version is the one of the first page; rows of later pages can be newer.
         """
-        rows, start, version = [], None, None
+        rows, failures, start, version = [], [], None, None
         while True:
             query = {"table": table, "part": "", "limit": PAGE_SIZE}
             if start is not None:
@@ -96,9 +98,12 @@
             if read.is_err():
                 return read
             rows += read.ok().rows
+            failures += read.ok().failures
             version = read.ok().version if version is None else version
-            if value.get("hasMore") is not True or not read.ok().rows:
-                return Ok(RowBatch(tuple(rows), version, read.ok().store_s))
+            if value.get("hasMore") is not True:
+                return Ok(RowBatch(tuple(rows), version, read.ok().store_s, tuple(failures)))
+            if not read.ok().rows:
+                return bad_answer("the store's answer has no row after which to go on")
             start = _next_key(rows[-1].key)
 
     def read_changes(self, table, after, wait_s, slack_s=FEED_SLACK_S):
@@ -167,6 +172,14 @@
         return outcome
 
 
+def require_all_rows(rows):
+    """Return Ok(RowBatch) if each item of the answer was a row, else the first failure.
+
+    For calling code to which a row that was left out would seem not to exist.
+    """
+    return Err(rows.failures[0]) if rows.failures else Ok(rows)
+
+
 def _next_key(key):
     """Return the smallest string that sorts after a key."""
     return key + "\0"
@@ -174,6 +187,8 @@
 
 def _require_single(rows, table, key):
     """Return Ok(rows) if they hold exactly the requested row, else a failure."""
+    if rows.failures:
+        return Err(rows.failures[0])
     found = [(row.table, row.key) for row in rows.rows]
     if found == [(table, key)]:
         return Ok(rows)
@@ -183,13 +198,13 @@
 
 
 def _is_version(value):
-    return isinstance(value, int) and not isinstance(value, bool)
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= MAX_INTEGER
 
 
 def _store_time(value):
     now_s = value.get("nowS")
     is_time = isinstance(now_s, (int, float)) and not isinstance(now_s, bool)
-    return float(now_s) if is_time and math.isfinite(now_s) else None
+    return float(now_s) if is_time and abs(now_s) <= MAX_INTEGER else None
 
 
 def _read_write_result(value):
@@ -203,7 +218,12 @@
     rows, version, store_s = value.get("rows"), value.get("ver"), _store_time(value)
     if not isinstance(rows, list) or not _is_version(version) or store_s is None:
         return bad_answer("the store's answer has no rows, no version or no time")
-    try:
-        return Ok(RowBatch(tuple(decode_row(item) for item in rows), version, store_s))
-    except FieldError as error:
-        return bad_answer(f"invalid row: {error}")
+    read = [decode_row(item) for item in rows]
+    return Ok(
+        RowBatch(
+            tuple(one.ok() for one in read if one.is_ok()),
+            version,
+            store_s,
+            tuple(one.err() for one in read if one.is_err()),
+        )
+    )
--- a/figfold/platform/tables.py
+++ b/figfold/platform/tables.py
@@ -1,14 +1,19 @@
 """Decodes the store's tables: configuration and evacuations, backend servers, and entries."""
 
-import json
-
 from attrs import frozen
 from result import Err
 
+from figfold.core.addresses import parse_address
 from figfold.core.codes import Code, Failure
+from figfold.core.names import is_name
 from figfold.core.traffic.configuration import Configuration
 from figfold.core.traffic.fleet import ServerRecord
-from figfold.platform.decoding import decode_configuration, decode_server
+from figfold.platform.decoding import (
+    FieldError,
+    decode_configuration,
+    decode_server,
+    parse_json,
+)
 from figfold.platform.rows import CONFIGURATION_KEY, EVACUATION_PREFIX
 
 
@@ -36,10 +41,19 @@
 
 @frozen
 class ServerUpdate:
-    """Result of decoding rows of the servers' table: servers to add or update, and to remove."""
+    """Result of decoding rows of the servers' table: servers to add or update, and to remove.
+
+    Attributes
+    ----------
+    unreadable_ids : tuple[str, ...]
+        Keys of the rows that are invalid and name no server to use.
+    failures : tuple[Failure, ...]
+        One for each of these rows.
+    """
 
     records: tuple[ServerRecord, ...]
     removed_ids: tuple[str, ...]
+    unreadable_ids: tuple[str, ...] = ()
     failures: tuple = ()
 
 
@@ -63,42 +77,41 @@
                 failures.append(read.err())
             else:
                 configuration = read.ok()
-                text = json.dumps(row.value, separators=(",", ":")).encode()
+                text = row.data
         elif row.key.startswith(EVACUATION_PREFIX):
-            evacuation_by_place[row.key[len(EVACUATION_PREFIX) :]] = not row.is_removed
+            place = row.key[len(EVACUATION_PREFIX) :]
+            if is_name(place):
+                evacuation_by_place[place] = not row.is_removed
+            else:
+                message = f"evacuation of {place[:60]!r}, which is not a name"
+                failures.append(Failure(Code.STORE_BAD_ANSWER, message))
     return OperatorUpdate(configuration, text, evacuation_by_place, tuple(failures))
 
 
 def decode_configuration_text(text):
     """Return Ok(Configuration) from the text that another entry has passed on."""
     try:
-        value = json.loads(text)
-    except ValueError as error:
-        return Err(Failure(Code.PEER_MALFORMED, f"the configuration is not valid JSON: {error}"))
+        value = parse_json(text)
+    except FieldError as error:
+        return Err(Failure(Code.PEER_MALFORMED, f"invalid configuration: {error}"))
     return decode_configuration(value)
 
 
 def read_server_rows(rows, known_services=None):
-    """Return the `ServerUpdate` for rows of the servers' table, in the store's order.
-
-    A server whose row is invalid counts as removed.
-    """
-    record_by_id, removed, failures = {}, {}, []
-    for row in rows:
-        read = (
-            None
-            if row.is_removed
-            else decode_server(row.key, row.value, known_services, row.version)
-        )
-        if read is None or read.is_err():
-            record_by_id.pop(row.key, None)
-            removed[row.key] = True
-            if read is not None:
-                failures.append(read.err())
+    """Return the `ServerUpdate` for rows of the servers' table, in the store's order."""
+    latest_by_id = {row.key: row for row in rows}
+    records, removed_ids, unreadable_ids, failures = [], [], [], []
+    for server_id, row in latest_by_id.items():
+        if row.is_removed:
+            removed_ids.append(server_id)
+            continue
+        read = decode_server(server_id, row.value, known_services, row.version)
+        if read.is_ok():
+            records.append(read.ok())
         else:
-            removed.pop(row.key, None)
-            record_by_id[row.key] = read.ok()
-    return ServerUpdate(tuple(record_by_id.values()), tuple(removed), tuple(failures))
+            unreadable_ids.append(server_id)
+            failures.append(read.err())
+    return ServerUpdate(tuple(records), tuple(removed_ids), tuple(unreadable_ids), tuple(failures))
 
 
 def read_entry_rows(rows):
@@ -109,6 +122,8 @@
         place, address = value.get("place"), value.get("peer_address")
         metrics = value.get("metrics_address", "")
         metrics = metrics if isinstance(metrics, str) else ""
-        if isinstance(place, str) and isinstance(address, str) and place and address:
+        if not isinstance(place, str) or not isinstance(address, str):
+            continue
+        if is_name(row.key) and is_name(place) and parse_address(address) is not None:
             entries.append(EntryRegistration(row.key, place, address, metrics))
     return tuple(entries)
--- a/figfold/ui/arguments.py
+++ b/figfold/ui/arguments.py
@@ -1,7 +1,7 @@
 """Parses the arguments of commands and loads the settings files that they name."""
 
-from figfold.config.section_reader import is_address
 from figfold.config.settings import load_settings
+from figfold.core.addresses import parse_address
 from figfold.core.sheet_values import read_time
 from figfold.ui.output import UserError, unwrap
 
@@ -63,7 +63,7 @@
 
 def read_address(flag, text):
     """Return an IP address with a port."""
-    if not is_address(text):
+    if parse_address(text) is None:
         message = f"--{flag} {text} is not an IP address with a port"
         raise UserError.usage(message, "write for example 10.0.0.1:8103")
     return text
--- a/figfold/wire/fields.py
+++ b/figfold/wire/fields.py
@@ -4,7 +4,8 @@
 from functools import lru_cache
 from ipaddress import ip_address
 
-MAX_NAME_CHARS = 128
+from figfold.core.names import NAME_PATTERN
+
 MAX_KEY_CHARS = 256
 MAX_STATE_CHARS = 64 * 1024
 MAX_ERROR_CHARS = 4096
@@ -13,7 +14,6 @@
 DIGEST_BYTES = 32
 ADDRESS_CACHE_SIZE = 4096
 
-NAME_PATTERN = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._:\[\]-]{{0,{MAX_NAME_CHARS - 1}}}")
 KEY_PATTERN = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
 
 
--- a/figfold/wire/knowledge_codec.py
+++ b/figfold/wire/knowledge_codec.py
@@ -100,7 +100,7 @@
         service=require_name(item.service, "service"),
         address=decode_address(item.address),
         place=require_name(item.place, "place"),
-        slots=item.slots,
+        slots=_require_slots(item.slots),
         is_leaving=item.leaving,
         row_version=item.rowVersion,
         cold_remaining_s=require_duration(item.coldRemainingS, "coldRemainingS"),
@@ -108,6 +108,12 @@
     )
 
 
+def _require_slots(count):
+    if not count:
+        raise FieldError("a server has no slots")
+    return count
+
+
 def _read_missing(item):
     return MissingServer(
         id=require_name(item.id, "missing"),
--- a/figfold/wire/server.py
+++ b/figfold/wire/server.py
@@ -47,6 +47,10 @@
     write_timeout_s: float = 5.0
 
 
+def _ignore_failure(_kind, _cause):
+    """Report nothing."""
+
+
 @define
 class PeerServerCounters:
     """Counts since the start of the process."""
@@ -71,20 +75,23 @@
     settings : PeerServerSettings
     handler : callable
         Takes a message and returns the reply.
+    on_failure : callable
+        Called as ``on_failure(kind, cause)`` for each message that could not be answered.
     counters : PeerServerCounters
     """
 
     settings: PeerServerSettings
     handler: Callable
+    on_failure: Callable = _ignore_failure
     counters: PeerServerCounters = field(factory=PeerServerCounters)
     _encoder: MessageEncoder = field(factory=MessageEncoder)
     _listener: object = None
     _connections: set = field(factory=set)
 
     @classmethod
-    def from_config(cls, settings, handler):
+    def from_config(cls, settings, handler, on_failure=_ignore_failure):
         """Return a server that does not listen yet."""
-        return cls(settings, handler)
+        return cls(settings, handler, on_failure)
 
     @property
     def address(self):
@@ -177,7 +184,9 @@
         except (Exception, eventlet.Timeout) as error:
             # An exception in one handler call must not end the connection of a healthy peer.
             self.counters.handler_failed += 1
-            reply = ErrorReply(Code.PEER_ENTRY_FAILED, f"{type(error).__name__}: {error}")
+            cause = f"{type(error).__name__}: {error}"
+            self.on_failure(type(message).__name__, cause)
+            reply = ErrorReply(Code.PEER_ENTRY_FAILED, cause)
         self._reply(sock, write_lock, request_id, reply)
 
     def _reply(self, sock, write_lock, request_id, reply):
@@ -185,6 +194,7 @@
         if encoded.is_err():
             self.counters.handler_failed += 1
             failure = encoded.err()
+            self.on_failure(type(reply).__name__, failure.message)
             encoded = self._encoder.encode(ErrorReply(failure.code, failure.message))
         written = None
         with eventlet.Timeout(self.settings.write_timeout_s, False), write_lock:
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -41,7 +41,11 @@
 
     def put(self, table, key, value):
         """Write the JSON value of a row."""
-        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        self.put_content(table, key, json.dumps(value).encode())
+
+    def put_content(self, table, key, content):
+        """Write the bytes of a row, which need not be JSON."""
+        encoded = base64.b64encode(content).decode()
         self._apply({"table": table, "part": "", "key": key, "value": encoded})
 
     def remove(self, table, key):
--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -1,12 +1,14 @@
 """Seeded soak of real entries: servers leave while entries stop, end, restart and reload.
 
 Servers also announce in their answers that they leave, name limits, ask for pauses, are slow, write
-refusals twice and end within the head of an answer.
+refusals twice and end within the head of an answer. Another writer leaves rows among theirs that
+name no server, and overwrites rows of servers that are up.
 
 Callers use their open connections until these are closed. Signals, restarts, changes of the
 configuration and outages of the store come in series and overlap.
 """
 
+import json
 import random
 import sys
 import time
@@ -38,6 +40,28 @@
 REQUESTS_IN_PAUSE = 2
 SLOW_RUN_S = 1.2
 FIRST_NOTICES_S = 2.0
+ODD_ROW_IDS = 30
+# Contents of rows that another writer leaves among those of the servers.
+ODD_CONTENTS = (
+    b"[" * 20_000 + b"]" * 20_000,
+    b'{"status": ' * 500 + b"{}" + b"}" * 500,
+    b"\xff\x00",
+    b"null",
+    b"7",
+    b'{"info": [], "status": {}}',
+)
+ODD_FIELDS = (
+    {"address": "127.0.0.1:70000"},
+    {"address": "127.0.0.1:" + "1" * 5000},
+    {"address": "server-1:80"},
+    {"address": "127.0.0.1:\u00b2"},
+    {"born": 10**30},
+    {"born": 10**400},
+    {"info": {"service": "stockview", "zone": "bne-north", "slots": 10**30, "version": "v"}},
+    {"info": {"service": "stockview", "zone": "\ud800", "slots": 3, "version": "v"}},
+    {"status": {"state": "ready", "sequence": 1, "coldRemainingS": 10**400}},
+    {"status": {"state": "elsewhere", "sequence": 1, "coldRemainingS": 0}},
+)
 # Results of a call without a status.
 CLOSED = 0
 TIMED_OUT = -1
@@ -112,7 +136,7 @@
         threads = [eventlet.spawn(self._call_repeatedly, number) for number in range(callers)]
         threads.append(eventlet.spawn(self._watch_lookups))
         # Every run has these, at a time when callers have found their servers.
-        for event in (self._limit, self._pause, self._announce):
+        for event in (self._limit, self._pause, self._announce, self._write_all_odd_rows):
             eventlet.spawn_after(FIRST_NOTICES_S, event)
         while time.monotonic() < self._ends_s:
             self._draw_event()
@@ -121,6 +145,7 @@
             thread.wait()
         self._check_calls()
         self._check_notices()
+        self._check_processes()
         self.deployment.stop()
         return self.violations
 
@@ -141,6 +166,8 @@
             self._pause: 3,
             self._break_answers: 3,
             self._slow_down: 2,
+            self._write_odd_row: 6,
+            self._remove_odd_row: 2,
         }
         (event,) = self.random.choices(list(weight_by_event), list(weight_by_event.values()))
         self.counts[event.__name__.strip("_")] += 1
@@ -209,6 +236,26 @@
             eventlet.spawn_after(2.0, setattr, endpoint, name, getattr(endpoint, name))
             setattr(endpoint, name, SLOW_RUN_S)
 
+    def _odd_contents(self):
+        """Return the contents of all odd rows, most of them of a server's row with an odd field."""
+        row = self.random.choice(self._staying()).row()
+        return [*ODD_CONTENTS, *(json.dumps(row | one).encode() for one in ODD_FIELDS)]
+
+    def _write_all_odd_rows(self):
+        for number, content in enumerate(self._odd_contents()):
+            self.deployment.rows.put_content("servers", f"odd-{number}", content)
+
+    def _write_odd_row(self):
+        """Write an odd row, at times over that of a server, which writes its own again soon."""
+        server_id = f"odd-{self.random.randrange(ODD_ROW_IDS)}"
+        if self.random.random() < 0.3:
+            server_id = self.random.choice(self._staying()).id
+        content = self.random.choice(self._odd_contents())
+        self.deployment.rows.put_content("servers", server_id, content)
+
+    def _remove_odd_row(self):
+        self.deployment.rows.remove("servers", f"odd-{self.random.randrange(ODD_ROW_IDS)}")
+
     def _add_server(self):
         if self.deployment.rows.is_down:
             return
@@ -390,6 +437,11 @@
                     " after it left"
                 )
 
+    def _check_processes(self):
+        for name, entry in self.entry_by_name.items():
+            if name not in self._stopping and entry.child.poll() is not None:
+                self.violations.append(f"{name} ended by itself")
+
     def _check_notices(self):
         """Check what entries sent to servers after these had stated something in an answer."""
         entry_by_request = {request_id: entry for request_id, entry, _, _ in self.calls}
--- a/test/test_config.py
+++ b/test/test_config.py
@@ -11,8 +11,8 @@
 from figfold.config.gateway_settings import load_gateway_settings
 from figfold.config.ini_file import FILE_LIMIT_BYTES, read_ini
 from figfold.config.options import read_defaults
-from figfold.config.section_reader import is_address
 from figfold.config.settings import load_settings
+from figfold.core.addresses import parse_address
 from figfold.core.codes import Code
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -283,9 +283,9 @@
 
     def test_address_is_an_ip_address_with_a_port(self):
         for text in ("10.0.0.1:80", "[::1]:80"):
-            self.assertTrue(is_address(text), text)
+            self.assertIsNotNone(parse_address(text), text)
         for text in ("host:80", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "::1:80", "[::1]", ""):
-            self.assertFalse(is_address(text), text)
+            self.assertIsNone(parse_address(text), text)
 
 
 def _places(failures):
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -71,7 +71,7 @@
 
 def row_of(table, key, value, version=1):
     encoded = base64.b64encode(json.dumps(value).encode()).decode()
-    return decode_row({"table": table, "key": key, "value": encoded, "ver": version})
+    return decode_row({"table": table, "key": key, "value": encoded, "ver": version}).unwrap()
 
 
 class EntrySettingsTest(unittest.TestCase):
@@ -128,10 +128,10 @@
 
     def test_invalid_row_does_not_affect_others(self):
         good = row_of("servers", "i-1", SERVER)
-        bad = decode_row({"table": "servers", "key": "i-2", "value": "%%%", "ver": 2})
+        bad = decode_row({"table": "servers", "key": "i-2", "value": "%%%", "ver": 2}).unwrap()
         update = read_server_rows([good, bad])
         self.assertEqual([record.id for record in update.records], ["i-1"])
-        self.assertEqual(update.removed_ids, ("i-2",))
+        self.assertEqual(update.unreadable_ids, ("i-2",))
         self.assertEqual(len(update.failures), 1)
 
     @given(JSON)
@@ -167,7 +167,9 @@
         rows = [
             row_of("op", "config", CONFIGURATION),
             row_of("op", "evacuate/bne-north", {}),
-            decode_row({"table": "op", "key": "evacuate/tsv-port", "tombstone": True, "ver": 3}),
+            decode_row(
+                {"table": "op", "key": "evacuate/tsv-port", "tombstone": True, "ver": 3}
+            ).unwrap(),
         ]
         update = read_operator_rows(rows)
         self.assertEqual(update.configuration.version, 12)
