Find out which entries live by a constant number of probes and by news

Cause: each entry exchanged reports with all of its data centre and with half of the others each second, 36 a second with 65 entries, 108 with 195, so that gossip was most of the work of a process and of the bytes between regions. Now each probes three others a second (SWIM, with suspicions that can be refuted and a view of the own slowness), and changes are passed on as news. Whole views are read at the start and when digests differ.

Ruled out, see the design: heartbeat counters, delegates of data centres, trees of neighbours.

--- a/figfold/core/entries.py
+++ b/figfold/core/entries.py
@@ -7,13 +7,25 @@
 
 @frozen
 class KnownEntry:
-    """An entry known to the sender of a report, with the time since the sender heard from it."""
+    """An entry known to the sender of a report.
+
+    Attributes
+    ----------
+    heard_age_ms : int
+        Time since the sender heard from it, or since it has been in its state.
+    state, revision : int
+        Its `EntryState` and the revision of itself for which this holds; no revision states only
+        that it exists.
+    """
 
     name: str
     place: str
     incarnation: int
     heard_age_ms: int
     peer_address: str = ""
+    address: str = ""
+    state: int = 0
+    revision: int = 0
 
 
 @frozen
--- a/figfold/core/model.py
+++ b/figfold/core/model.py
@@ -245,6 +245,12 @@
         Backend servers that the sender itself has seen leaving.
     strikes : tuple[ReportedStrike, ...]
         The sender's strikes against request fingerprints, latest first.
+    revision : int
+        Number that the sender raises to refute that it is silent; zero if it states none.
+    members_digest : int
+        Digest of the entries that the sender takes for live; zero if it states none.
+    settled_s : float
+        Time since these have last changed.
     """
 
     name: str
@@ -261,3 +267,6 @@
     quarantined: tuple[QuarantinedRequest, ...] = ()
     leaving_servers: tuple[str, ...] = ()
     strikes: tuple[ReportedStrike, ...] = ()
+    revision: int = 0
+    members_digest: int = 0
+    settled_s: float = 0.0
--- a/figfold/entry/peer_gossip.py
+++ b/figfold/entry/peer_gossip.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import eventlet
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 from figfold.core.codes import Code
 from figfold.core.confirmation import ConfirmationTracker
@@ -42,6 +42,10 @@
         Handlers of messages other than reports.
     random : Random
         Draws the entries of other places to which a plan or a crash is announced.
+    on_merged : callable or None
+        Called with each report of another entry after its merge.
+    corrections : callable or None
+        Returns the known entries that the reply to a report has to begin with.
     """
 
     membership: Membership
@@ -59,6 +63,9 @@
     on_round_trip: Callable | None = None
     on_loads: Callable | None = None
     on_later_plan: Callable | None = None
+    on_merged: Callable | None = None
+    corrections: Callable | None = None
+    known_entries_limit: int = KNOWN_ENTRIES_LIMIT
     cached_report: Report | None = None
     cached_at_s: float = float("-inf")
     announcement_limit: AnnouncementLimiter = Factory(AnnouncementLimiter)
@@ -70,25 +77,27 @@
         for entry in self.membership.peers_to_contact(now_s()):
             eventlet.spawn_n(self.exchange, entry.reach_peer_address, report)
 
-    def exchange(self, address, report):
-        """Send the own report to one peer and merge the report that it returns."""
+    def exchange(self, address, report, timeout_s=None):
+        """Send the own report to a peer and merge its report; return whether it sent one."""
         asked_at = now_s()
-        answered = self.client.call(address, report, self.timeout_s)
+        answered = self.client.call(address, report, timeout_s or self.timeout_s)
         if answered.is_err():
             self.metrics.count_code(answered.err().code)
-            return
-        if isinstance(answered.ok(), Report):
-            self.on_round_trip(answered.ok().report.name, now_s() - asked_at)
-            self._merge(answered.ok(), asked_at)
+            return False
+        if not isinstance(answered.ok(), Report):
+            return False
+        self.on_round_trip(answered.ok().report.name, now_s() - asked_at)
+        self._merge(answered.ok(), asked_at)
+        return True
 
     def announce_leaving(self):
         """Send a report to all known entries at once, since none relays that this one leaves."""
         known = self.membership.entry_by_name.values()
-        self._push_report(entry for entry in known if entry.reach_peer_address)
+        self.send_report(entry for entry in known if entry.reach_peer_address)
 
     def announce_plan(self, version):
         """Announce a plan that came into force here to some entries at once; they relay it."""
-        self._push_report(self.membership.peers_to_notify(version, self.random.sample))
+        self.send_report(self.membership.peers_to_notify(version, self.random.sample))
 
     def announce_crash(self):
         """Announce a crash to some entries, together with others that occur within a short time."""
@@ -98,9 +107,10 @@
 
     def _push_crash_report(self):
         self.crash_announcement_pending = False
-        self._push_report(crash_announcement_recipients(self.membership, self.random.sample))
+        self.send_report(crash_announcement_recipients(self.membership, self.random.sample))
 
-    def _push_report(self, entries):
+    def send_report(self, entries):
+        """Exchange a report that is built now with each of the entries."""
         report = self._build_report(now_s())
         for entry in list(entries):
             eventlet.spawn_n(self.exchange, entry.reach_peer_address, report)
@@ -109,7 +119,13 @@
         """Return the reply to one message of a peer."""
         if isinstance(message, Report):
             self._merge(message, None)
-            return self.own_report()
+            reply = self.own_report()
+            if self.corrections is None:
+                return reply
+            corrections = self.corrections(message.report)
+            if not corrections:
+                return reply
+            return evolve(reply, known_entries=corrections + reply.known_entries)
         handler = self.handler_by_type.get(type(message))
         if handler is None:
             return ErrorReply(Code.PEER_MALFORMED, "not a request")
@@ -118,7 +134,10 @@
     def own_report(self):
         """Return the current report of this entry; the same object for `REPORT_CACHE_S`."""
         now = now_s()
-        if 0.0 <= now - self.cached_at_s < REPORT_CACHE_S:
+        is_current = self.cached_report is not None and (
+            self.cached_report.report is self.membership.own
+        )
+        if is_current and 0.0 <= now - self.cached_at_s < REPORT_CACHE_S:
             return self.cached_report
         return self._build_report(now)
 
@@ -130,7 +149,8 @@
         report = build_report(self.membership.own, self.confirmation, cache_end_s, **report_fields)
         self.membership.own = report
         self.cached_at_s = now
-        self.cached_report = Report(report, self.membership.known_entries(now, KNOWN_ENTRIES_LIMIT))
+        known_entries = self.membership.known_entries(now, self.known_entries_limit)
+        self.cached_report = Report(report, known_entries)
         return self.cached_report
 
     def _merge(self, message, asked_at):
@@ -145,6 +165,8 @@
         )
         for action in actions:
             self._perform(action)
+        if self.on_merged is not None:
+            self.on_merged(message.report)
 
     def _perform(self, action):
         if isinstance(action, FetchPlan):
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -53,7 +53,11 @@
     cold_limiter: ColdServerLimiter = Factory(ColdServerLimiter)
     registered_entries: set = Factory(set)
     _round_trip_s_by_place: dict = Factory(dict)
-    _place_by_entry: dict = Factory(dict)
+    _live: dict | None = None
+    _live_of_names: dict | None = None
+    _live_places: list = Factory(list)
+    _live_regions: list = Factory(list)
+    _place_by_live_entry: dict = Factory(dict)
 
     @classmethod
     def from_config(cls, settings, log, on_configuration):
@@ -154,16 +158,14 @@
         return len(places) if self.place in places else 0
 
     def regions_with_free_slots(self, service):
-        """Return the regions whose entries all report enough free slots to take overflow."""
+        """Return the regions of which all recent reports state enough free slots for overflow."""
         slots_by_region, free_by_region = {}, {}
         for server in self.fleet.usable_servers(service):
             region = self.region_by_place.get(server.record.place, "")
             slots_by_region[region] = slots_by_region.get(region, 0) + server.record.slots
-        for entry in self.membership.live_entries(now_s()).values():
-            load = entry.load_by_service.get(service)
-            if load is not None:
-                region = self.region_by_place.get(entry.place, "")
-                free_by_region.setdefault(region, []).append(load.room)
+        for place, load in self.membership.recent_loads(service, now_s()):
+            region = self.region_by_place.get(place, "")
+            free_by_region.setdefault(region, []).append(load.room)
         return {
             region
             for region, free in free_by_region.items()
@@ -175,17 +177,29 @@
     def live_entry_places(self):
         """Return the place of each live entry, this one included."""
         live = self.membership.live_entries(now_s())
-        others = [entry.place for name, entry in live.items() if name != self.name]
-        return [self.place, *others]
+        if live is not self._live:
+            self._live = live
+            others = [entry.place for name, entry in live.items() if name != self.name]
+            self._live_places = [self.place, *others]
+            self._live_regions = [self.region_by_place.get(one, "") for one in self._live_places]
+        return self._live_places
 
     def live_entry_regions(self):
         """Return the region of each live entry, this one included."""
-        return [self.region_by_place.get(place, "") for place in self.live_entry_places()]
+        self.live_entry_places()
+        return self._live_regions
+
+    def place_by_live_entry(self):
+        """Return the places of the live entries by name, this one included unless it leaves."""
+        live = self.membership.live_entries(now_s())
+        if live is not self._live_of_names:
+            self._live_of_names = live
+            self._place_by_live_entry = {name: entry.place for name, entry in live.items()}
+        return self._place_by_live_entry
 
     def entry_count(self):
         """Return the number of entries that may spend from a shared budget."""
-        known = set(self.membership.entry_by_name) | {self.name} | self.registered_entries
-        return len(known)
+        return len(self.registered_entries.union(self.membership.entry_by_name, (self.name,)))
 
     def _is_own_region(self, place):
         return self.region_by_place.get(place) == self.region_by_place.get(self.place)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -9,7 +9,7 @@
 
 from figfold.core.confirmation import ConfirmationTracker
 from figfold.core.entries import MembershipSettings
-from figfold.core.membership import Membership
+from figfold.core.members import NEWS_LIMIT, Members
 from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
 from figfold.core.names import is_name
 from figfold.core.quarantine import Quarantine
@@ -32,6 +32,7 @@
     make_gateway_protocol,
 )
 from figfold.gateway.cluster_view import ClusterView
+from figfold.gateway.entry_prober import EntryProber
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
 from figfold.gateway.store_reader import StoreReader
@@ -39,7 +40,7 @@
 from figfold.platform.headers import names_its_request, server_headers
 from figfold.platform.rows import RowStore
 from figfold.wire.client import PeerClient
-from figfold.wire.messages import KnowledgeRequest
+from figfold.wire.messages import KnowledgeRequest, MembersRequest, ProbeRequest
 from figfold.wire.server import PeerServer, PeerServerSettings
 
 BACKLOG = 1024
@@ -57,6 +58,8 @@
 STOP_POLL_S = 0.02
 REGISTER_RETRY_S = 1.0
 CONFIRMATION_TTL_S = 4.0
+# Time after which an entry that is dead or has left is forgotten.
+FORGET_ENTRY_S = 120.0
 MAX_LOGGED_CAUSES = 100  # Causes of failed peer messages that are logged once each.
 MAX_CAUSE_CHARS = 400
 # Settings that an entry writes to its row in the store.
@@ -95,6 +98,7 @@
     request_runner: RequestRunner = None
     store_reader: StoreReader = None
     peers: PeerGossip = None
+    prober: EntryProber = None
     app: RequestApp = None
     lookup: LookupApp = None
     peer_server: PeerServer = None
@@ -135,10 +139,12 @@
 
     def _make_peers(self):
         settings = self.settings
+        started_ms = int(wall_s() * MS_PER_S)
         own_report = EntryReport(
             name=settings.name,
             place=settings.place,
-            incarnation=int(wall_s() * MS_PER_S),
+            incarnation=started_ms,
+            revision=started_ms,
             address=settings.caller_address,
             peer_address=settings.peer_address,
             admin_address=settings.metrics_address,
@@ -152,8 +158,12 @@
             suspect_after_s=settings.peers.suspect_after_s,
             start_grace_s=0.0,
             fanout=settings.peers.fanout,
+            forget_after_s=FORGET_ENTRY_S,
         )
-        self.cluster.membership = Membership.from_config(options, own_report)
+        random = Random(settings.name)
+        # Entries draw different numbers, and tests are repeatable.
+        members = Members.from_config(options, own_report, random.sample)
+        self.cluster.membership = members
         self.quarantine = Quarantine.from_config()
         self.peers = PeerGossip(
             membership=self.cluster.membership,
@@ -163,15 +173,18 @@
             log=self.log,
             timeout_s=settings.peers.timeout_s,
             report_parts=self._report_parts,
-            # Seeded by the name: entries draw different numbers, and tests are repeatable.
-            random=Random(settings.name),
+            random=random,
             on_leaving_servers=lambda _server, from_peer: None,
             on_quarantine=self._on_quarantine,
             on_strike=self.quarantine.merge_strike,
             on_round_trip=self.cluster.record_round_trip,
             on_loads=lambda _name, _loads: None,
             on_later_plan=lambda _version, _address: None,
+            known_entries_limit=NEWS_LIMIT,
         )
+        self.prober = EntryProber(self.peers, members, self.metrics, self.log)
+        self.peers.on_merged = self.prober.after_merge
+        self.peers.corrections = self.prober.corrections
         host, port = settings.peer_address.rsplit(":", 1)
         networks = tuple(ip_network(text) for text in settings.peers.allowed_networks)
         self.peer_server = PeerServer.from_config(
@@ -189,7 +202,11 @@
             self.log,
             own_report.incarnation,
         )
-        self.peers.handler_by_type = {KnowledgeRequest: self.store_sync.handle_request}
+        self.peers.handler_by_type = {
+            KnowledgeRequest: self.store_sync.handle_request,
+            ProbeRequest: self.prober.handle_probe,
+            MembersRequest: self.prober.handle_members_request,
+        }
 
     def _make_request_runner(self):
         settings = self.settings
@@ -249,7 +266,7 @@
         self._serve(settings.metrics_address, MetricsApp(self._render), protocol)
         self.store_sync.start()
         eventlet.spawn_n(self._register)
-        self._start_loop("peers", settings.peers.interval_s, self.peers.start_round)
+        self._start_loop("peers", settings.peers.interval_s, self.prober.start_round)
         self._start_loop(
             "idle", IDLE_SWEEP_INTERVAL_S, lambda: self.connections.close_idle(now_s())
         )
@@ -268,7 +285,7 @@
         self.log.bind(in_progress=self.app.in_progress, grace_s=grace_s).info("leaving")
         own = self.cluster.membership.own
         self.cluster.membership.own = evolve(own, leaving=True)
-        self.peers.announce_leaving()
+        self.prober.announce()
         self.request_runner.answer_until(began + ANSWER_FRACTION * grace_s)
         while now_s() < began + SERVE_FRACTION * grace_s:
             eventlet.sleep(STOP_POLL_S)
@@ -348,8 +365,10 @@
             for row in rows
             if row.name != self.settings.name
         ]
-        self.cluster.membership.update_from_list(instances, now_s())
-        self.peers.announce_leaving()
+        members = self.cluster.membership
+        members.update_from_list(instances, now_s())
+        registered = [members.entry_by_name[one.name] for one in instances]
+        self.prober.announce(members.sample(registered, len(registered)))
         self.log.bind(entries=len(rows)).info("registered")
 
     # Callbacks between the parts.
@@ -359,7 +378,6 @@
         self.request_runner.retain_routes(self.cluster.configuration.route_by_name)
         membership = self.cluster.membership
         membership.own = evolve(membership.own, plan_version=version)
-        self.peers.announce_plan(version)
 
     def _on_server_removed(self, server_id):
         self.request_runner.selector.remove_server(server_id)
@@ -381,6 +399,8 @@
             "loads": self._loads(now),
             "quarantined": self.quarantine.entries(now),
             "strikes": self.quarantine.strikes(now),
+            "members_digest": self.cluster.membership.own_digest(),
+            "settled_s": self.cluster.membership.settled_s(now),
         }
 
     def _loads(self, now):
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -174,15 +174,11 @@
         return True
 
     def _ask_fallback(self):
-        name = self.source_selector.fallback(self._place_by_live_entry(), now_s())
+        name = self.source_selector.fallback(self.cluster.place_by_live_entry(), now_s())
         return bool(name) and self._ask_peer(name)
 
     def _current_source(self):
-        return self.source_selector.choose(self._place_by_live_entry(), now_s())
-
-    def _place_by_live_entry(self):
-        live = self.cluster.membership.live_entries(now_s())
-        return {name: entry.place for name, entry in live.items()}
+        return self.source_selector.choose(self.cluster.place_by_live_entry(), now_s())
 
     # Requests to peers.
 
--- a/figfold/wire/codec.py
+++ b/figfold/wire/codec.py
@@ -7,6 +7,7 @@
 
 from figfold.core.codes import Code, Failure
 from figfold.core.entries import KnownEntry
+from figfold.core.members import MAX_REVISION, EntryState
 from figfold.core.model import EntryReport, QuarantinedRequest, ReportedStrike, ServiceLoad
 from figfold.core.peer_reports import (
     MAX_KNOWN_ENTRIES,
@@ -23,6 +24,7 @@
     decode_address,
     digest_hex,
     encode_address,
+    require_at_most,
     require_duration,
     require_match,
     require_max_chars,
@@ -40,8 +42,11 @@
     KeyReply,
     KnowledgeReply,
     KnowledgeRequest,
+    MembersReply,
+    MembersRequest,
     PlanReply,
     PlanRequest,
+    ProbeRequest,
     Report,
 )
 from figfold.wire.segment_table import WORD_BYTES, read_segment_table
@@ -53,6 +58,7 @@
 TRAVERSAL_LIMIT_WORDS = 2 * MAX_MESSAGE_BYTES // WORD_BYTES
 NESTING_LIMIT = 8
 ROOT_POINTER_WORDS = 1
+MAX_MEMBERS = 2000
 
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
@@ -76,6 +82,9 @@
     _write_quarantined(body.init("quarantined", len(report.quarantined)), report.quarantined)
     body.leavingServers = list(report.leaving_servers)
     _write_strikes(body.init("strikes", len(report.strikes)), report.strikes)
+    body.revision = report.revision
+    body.membersDigest = report.members_digest
+    body.settledS = report.settled_s
     _write_known_entries(
         body.init("knownEntries", len(message.known_entries)), message.known_entries
     )
@@ -112,6 +121,9 @@
         item.incarnation = known.incarnation
         item.heardAgeMs = known.heard_age_ms
         item.peerAddress = encode_address(known.peer_address)
+        item.address = encode_address(known.address)
+        item.state = int(known.state)
+        item.revision = known.revision
 
 
 def _read_report(body):
@@ -134,6 +146,9 @@
             body.leavingServers, MAX_LEAVING_SERVERS, require_name, "leavingServers"
         ),
         strikes=convert_items(body.strikes, MAX_STRIKES, _read_strike, "strikes"),
+        revision=require_at_most(body.revision, MAX_REVISION, "revision"),
+        members_digest=body.membersDigest,
+        settled_s=require_duration(body.settledS, "settledS"),
     )
     known = convert_items(body.knownEntries, MAX_KNOWN_ENTRIES, _read_known_entry, "knownEntries")
     return Report(report, known)
@@ -168,9 +183,39 @@
         incarnation=item.incarnation,
         heard_age_ms=item.heardAgeMs,
         peer_address=decode_address(item.peerAddress),
+        address=decode_address(item.address),
+        state=require_at_most(item.state, max(EntryState), "state"),
+        revision=require_at_most(item.revision, MAX_REVISION, "revision"),
     )
 
 
+# Membership.
+
+
+def _write_probe_request(body, message):
+    body.name = message.name
+
+
+def _read_probe_request(body):
+    return ProbeRequest(require_name(body.name))
+
+
+def _write_members_request(_body, _message):
+    """Write nothing: the kind of the message says it all."""
+
+
+def _read_members_request(_body):
+    return MembersRequest()
+
+
+def _write_members_reply(body, message):
+    _write_known_entries(body.init("entries", len(message.entries)), message.entries)
+
+
+def _read_members_reply(body):
+    return MembersReply(convert_items(body.entries, MAX_MEMBERS, _read_known_entry, "entries"))
+
+
 # Plans.
 
 
@@ -233,6 +278,9 @@
     ErrorReply: ("error", _write_error),
     KnowledgeRequest: ("knowledgeRequest", write_knowledge_request),
     KnowledgeReply: ("knowledgeReply", write_knowledge_reply),
+    ProbeRequest: ("probeRequest", _write_probe_request),
+    MembersRequest: ("membersRequest", _write_members_request),
+    MembersReply: ("membersReply", _write_members_reply),
 }
 _READER_BY_KIND = {
     "report": _read_report,
@@ -243,6 +291,9 @@
     "error": _read_error,
     "knowledgeRequest": read_knowledge_request,
     "knowledgeReply": read_knowledge_reply,
+    "probeRequest": _read_probe_request,
+    "membersRequest": _read_members_request,
+    "membersReply": _read_members_reply,
 }
 
 
--- a/figfold/wire/fields.py
+++ b/figfold/wire/fields.py
@@ -71,6 +71,13 @@
     return value
 
 
+def require_at_most(value, limit, name):
+    """Return an integer if it is not above the limit, else raise `FieldError`."""
+    if value > limit:
+        raise FieldError(f"{name} is above {int(limit)}")
+    return value
+
+
 def require_max_chars(text, limit, name):
     """Return the text if it is not longer than the limit, else raise `FieldError`."""
     if len(text) > limit:
--- a/figfold/wire/messages.py
+++ b/figfold/wire/messages.py
@@ -104,5 +104,25 @@
     configuration_version: int = 0
 
 
+@frozen
+class ProbeRequest:
+    """Request to send a report to the named entry and to return its reply."""
+
+    name: str
+
+
+@frozen
+class MembersRequest:
+    """Request for all that the receiver knows of the entries."""
+
+
+@frozen
+class MembersReply:
+    """All that the sender knows of the entries, itself included."""
+
+    entries: tuple[KnownEntry, ...]
+
+
 Message = Report | PlanRequest | PlanReply | KeyQuery | KeyReply | ErrorReply
 Message = Message | KnowledgeRequest | KnowledgeReply
+Message = Message | ProbeRequest | MembersRequest | MembersReply
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -23,6 +23,9 @@
   incarnation @2 :UInt64;
   heardAgeMs @3 :UInt64;
   peerAddress @4 :Data;
+  address @5 :Data;
+  state @6 :UInt8;  # 0 alive, 1 suspect, 2 dead, 3 left.
+  revision @7 :UInt64;
 }
 
 # A request, by its fingerprint, was in progress at a backend server that may have crashed.
@@ -52,6 +55,23 @@
   leavingServers @12 :List(Text);
   knownEntries @13 :List(KnownEntry);
   strikes @14 :List(Strike);
+  revision @15 :UInt64;
+  membersDigest @16 :UInt64;
+  settledS @17 :Float64;
+}
+
+# Request to send a report to another entry and to return its reply.
+struct ProbeRequest {
+  name @0 :Text;
+}
+
+# Request for all that the receiver knows of the entries.
+struct MembersRequest {
+  unused0 @0 :Void;
+}
+
+struct MembersReply {
+  entries @0 :List(KnownEntry);
 }
 
 # Request for a plan version, and the stored head row and plan body of it.
@@ -139,5 +159,8 @@
     error @6 :ErrorReply;
     knowledgeRequest @7 :KnowledgeRequest;
     knowledgeReply @8 :KnowledgeReply;
+    probeRequest @9 :ProbeRequest;
+    membersRequest @10 :MembersRequest;
+    membersReply @11 :MembersReply;
   }
 }
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -1,6 +1,7 @@
 """Gateway entries in virtual time, which learn of backend servers from a fake store and peers."""
 
 import json
+from collections import Counter
 from random import Random
 from urllib.parse import parse_qsl, urlsplit
 
@@ -80,6 +81,11 @@
 
     def _call(self, other, message):
         fleet = self.fleet
+        if not isinstance(message, KnowledgeRequest):
+            fleet.messages_by_entry[self.entry] += 1
+            fleet.messages_by_entry[other] += 1
+        if fleet.random.random() < fleet.loss:
+            eventlet.sleep(SILENT_DELAY_S)
         eventlet.sleep(fleet.peer_delay_s(self.entry, other))
         process = fleet.process_by_entry.get(other)
         if process is None:
@@ -111,6 +117,10 @@
         How the store treats an entry: ``busy`` (refused at once) or ``silent``.
     isolated : set[str]
         Entries whose messages to and from other entries do not arrive.
+    loss : float
+        Fraction of the calls between entries that are lost.
+    messages_by_entry : Counter
+        Calls that an entry has made or received, but for those about the store's rows.
     slow_pairs : set[frozenset[str]]
         Pairs of entries whose replies with rows arrive too late, as on a full link; reports do not.
     """
@@ -128,6 +138,9 @@
     refusal_by_entry: dict = Factory(dict)
     isolated: set = Factory(set)
     slow_pairs: set = Factory(set)
+    loss: float = 0.0
+    messages_by_entry: Counter = Factory(Counter)
+    random: Random = Factory(lambda: Random(1))
     leavings: list = Factory(list)
     _starts: int = 0
 
@@ -154,7 +167,7 @@
         self._starts += 1
         process = f"{name}/{self._starts}"
         ip_by_entry = {one: ip for ip, one in self.entry_by_ip.items()}
-        ip = ip_by_entry.get(name, f"10.1.0.{len(ip_by_entry) + 1}")
+        ip = ip_by_entry.get(name, f"10.1.{len(ip_by_entry) >> 8}.{len(ip_by_entry) & 255}")
         self.entry_by_ip[ip] = name
         settings = make_settings(name, place, ip, self.region_by_place)
         self.place_by_entry[name] = place
@@ -169,7 +182,7 @@
         self.gateway_by_entry[name] = gateway
         gateway.store_sync.start()
         eventlet.spawn_n(gateway._register)
-        gateway._start_loop("peers", settings.peers.interval_s, gateway.peers.start_round)
+        gateway._start_loop("peers", settings.peers.interval_s, gateway.prober.start_round)
 
     def kill(self, name):
         """End the process of an entry at once."""
