Run the reads that a caller sends ahead of an answer side by side

Cause: the requests of a connection waited for each other in the socket, so that the second answer took the sum of both runs; the watch for the caller's close ended at the first byte of the next request, so that a run went on for a caller who had left; an answer that closed the connection left it open, since eventlet does not look at that header, and what came behind it was run.

One that may run at most once waits for those before it and holds back those behind it. A close is noticed with requests in the buffer and cancels all. Behind an answer that closes nothing runs. Answers that wait for their turn and requests that cannot start are held up to a limit each.

--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -1,6 +1,7 @@
 """HTTP parsing at an entry's ports: malformed requests get a refusal with a result code."""
 
 import json
+from functools import partial
 from socket import SHUT_WR
 
 from eventlet import Timeout, wsgi
@@ -35,10 +36,12 @@
 
         def setup(self):
             super().setup()
-            self.wfile = _RefusalWriter(self.wfile, refuse)
+            # Replaces the refusals of the WSGI server in what is written to a file.
+            self.wrap_file = partial(_RefusalWriter, refuse=refuse)
+            self.wfile = self.wrap_file(self.wfile)
 
         def finish(self):
-            if self.wfile.has_refused:
+            if self.wfile.drains_at_close:
                 _drain(self.connection, self.wfile)
             super().finish()
 
@@ -67,7 +70,7 @@
     def __init__(self, file, refuse):
         self._file = file
         self._refuse = refuse
-        self.has_refused = False
+        self.drains_at_close = False
 
     def write(self, data):
         if data.startswith(LIBRARY_REFUSAL_PREFIX):
@@ -78,7 +81,7 @@
 
     def write_refusal(self, data):
         """Write a refusal, after which the connection is not used again."""
-        self.has_refused = True
+        self.drains_at_close = True
         return self._file.write(data)
 
     def __getattr__(self, name):
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -3,19 +3,16 @@
 import json
 from collections.abc import Callable
 from hashlib import sha256
-from socket import MSG_DONTWAIT, MSG_PEEK
 from urllib.parse import parse_qs
 
-import eventlet
 from attrs import Factory, define
-from eventlet.hubs import trampoline
 
 from figfold.core.codes import Code
 from figfold.entry.clock import now_s
 from figfold.entry.connections import HOP_BY_HOP
-from figfold.entry.http_protocol import make_protocol
 from figfold.entry.large_body import JoinedBody
 from figfold.gateway.bodies import BodyMemoryLimiter, read_body
+from figfold.gateway.protocol import CLOSES_CONNECTION, CONNECTION, RAW_TARGET, host_name
 from figfold.gateway.requests import GatewayRequest, RequestFailure
 from figfold.platform.headers import (
     is_set_by_entry,
@@ -24,10 +21,7 @@
     refusal_headers,
 )
 
-# Keys of the WSGI environment.
-RAW_TARGET = "figfold.target"
-CONNECTION = "figfold.connection"
-RAW_HEADERS = "headers_raw"
+RAW_HEADERS = "headers_raw"  # Key of the WSGI environment.
 # Time limit of a request whose caller gives no deadline.
 DEFAULT_TIMEOUT_S = 30.0
 MAX_LOOKUP_ADDRESSES = 64  # Entries in one look-up answer.
@@ -42,41 +36,6 @@
 TEXT = ("Content-Type", "text/plain")
 
 
-def make_gateway_protocol(metrics, limits):
-    """Return the protocol class of the request port.
-
-    Parameters
-    ----------
-    metrics : Metrics
-    limits : callable
-        Returns the `CallerLimits` in force.
-    """
-
-    class GatewayProtocol(make_protocol(metrics)):
-        """Applies the time limits to callers, and passes the raw target and the connection on."""
-
-        def _read_request_line(self):
-            # eventlet limits an idle connection by `keepalive`, and each read after the request
-            # line by `socket_timeout`.
-            self.server.keepalive = limits().idle_timeout_s
-            self.server.socket_timeout = limits().header_timeout_s
-            return super()._read_request_line()
-
-        def parse_request(self):
-            is_read = super().parse_request()
-            self.connection.settimeout(limits().idle_timeout_s)
-            return is_read
-
-        def get_environ(self):
-            environ = super().get_environ()
-            # The target as sent: the parsed one loses escapes and an empty query.
-            environ[RAW_TARGET] = self.path
-            environ[CONNECTION] = self.connection
-            return environ
-
-    return GatewayProtocol
-
-
 @define(eq=False)
 class RequestApp:
     """WSGI application of the request port.
@@ -117,7 +76,7 @@
         started = now_s()
         read = _read_request(environ, started, self.limits().body_bytes, self.body_memory)
         if isinstance(read, RequestFailure):
-            return self._answer_failure(None, read, started, start_response)
+            return self._answer_failure(environ, None, read, started, start_response)
         try:
             return self._answer_request(read, environ, started, start_response)
         finally:
@@ -126,10 +85,10 @@
     def _answer_request(self, request, environ, started, start_response):
         if self.stage() == "closed":
             failure = RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0)
-            return self._answer_failure(request, failure, started, start_response)
-        result = self.serve(request, _disconnect_watcher(environ[CONNECTION]))
+            return self._answer_failure(environ, request, failure, started, start_response)
+        result = self.serve(request, environ[CONNECTION].watch)
         if result.is_err():
-            return self._answer_failure(request, result.err(), started, start_response)
+            return self._answer_failure(environ, request, result.err(), started, start_response)
         answer = result.ok()
         duration_s = now_s() - started
         self.metrics.record("request", str(answer.status), duration_s)
@@ -137,11 +96,11 @@
             id=request.request_id, status=answer.status, server=answer.server, ms=_ms(duration_s)
         ).info("answered")
         headers = [*answer.headers, ("Content-Length", str(answer.length))]
-        self._close_if_leaving(headers)
+        self._close_if_leaving(environ, headers)
         start_response(f"{answer.status} Status", headers)
         return [answer.body] if answer.rest is None else JoinedBody(answer.body, answer.rest)
 
-    def _answer_failure(self, request, failure, started, start_response):
+    def _answer_failure(self, environ, request, failure, started, start_response):
         self.metrics.count_code(failure.code, reason=failure.reason)
         duration_s = now_s() - started
         self.metrics.record("refusal", failure.code.name.lower(), duration_s)
@@ -160,12 +119,13 @@
             ("Content-Length", str(len(body))),
             *refusal_headers(failure.retry_after_s),
         ]
-        self._close_if_leaving(headers)
+        self._close_if_leaving(environ, headers)
         start_response(_status(failure), headers)
         return [body]
 
-    def _close_if_leaving(self, headers):
+    def _close_if_leaving(self, environ, headers):
         if self.stage() != "serving":
+            environ[CLOSES_CONNECTION] = True
             headers.append(("Connection", "close"))
 
 
@@ -268,7 +228,7 @@
         request_id=head.request_id,
         method=method,
         target=target,
-        host=host.partition(":")[0].lower(),
+        host=host_name(host),
         path=target.partition("?")[0],
         headers=_forwarded_headers(raw_headers, host),
         body=body,
@@ -301,26 +261,3 @@
     digest = sha256(f"{method}\0{host}\0{target}\0".encode("utf-8", "surrogateescape"))
     digest.update(body)
     return digest.hexdigest()
-
-
-def _disconnect_watcher(connection):
-    """Return a function that calls a callback once the caller has closed its connection."""
-    sock = getattr(connection, "fd", connection)
-
-    def watch(on_disconnect):
-        thread = eventlet.spawn(_wait_for_close, sock, on_disconnect)
-        return thread.kill
-
-    return watch
-
-
-def _wait_for_close(sock, on_disconnect):
-    try:
-        trampoline(sock, read=True)
-        # Data may be the next request, and hide a later close of the connection.
-        if sock.recv(1, MSG_PEEK | MSG_DONTWAIT) == b"":
-            on_disconnect()
-    except BlockingIOError:
-        return
-    except OSError:
-        on_disconnect()
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -29,10 +29,10 @@
     MetricsApp,
     ReadyApp,
     RequestApp,
-    make_gateway_protocol,
 )
 from figfold.gateway.cluster_view import ClusterView
 from figfold.gateway.entry_prober import EntryProber
+from figfold.gateway.protocol import make_gateway_protocol
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
 from figfold.gateway.store_reader import StoreReader
@@ -258,7 +258,9 @@
         self.peer_server.start()
         protocol = make_protocol(self.metrics)
         self._serve(
-            settings.caller_address, self.app, make_gateway_protocol(self.metrics, self._limits)
+            settings.caller_address,
+            self.app,
+            make_gateway_protocol(self.metrics, self._limits, self._may_overlap),
         )
         self._serve(settings.ready_address, ReadyApp(self.is_ready), protocol)
         self.lookup = LookupApp(self.look_up, settings.lookup_ttl_s, self.metrics)
@@ -414,6 +416,10 @@
             for name in services
         )
 
+    def _may_overlap(self, host, path):
+        # While the entry stops, each answer ends its connection.
+        return self.stage == "serving" and self.request_runner.is_repeatable(host, path)
+
     def _limits(self):
         configuration = self.cluster.configuration
         return configuration.limits if configuration else CallerLimits()
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -87,6 +87,13 @@
             stop_watching()
             run.cancel_all()
 
+    def is_repeatable(self, host, path):
+        """Return whether the configuration has a route for the request, which may be repeated."""
+        if not self._has_cluster_state():
+            return False
+        route = self.cluster.configuration.match(host, path)
+        return route is not None and route.is_repeatable
+
     def answer_until(self, until_s):
         """Give all requests, also those in progress, their final answer by a time."""
         self.answers_until_s = until_s
