Look at the candidates of an object instead of at all servers of its service

Cause: each choice of a server ranked all servers of the service anew and looked at the state of each. What depends on the fleet alone is now computed when the fleet changes; the first servers of an object are kept while it is in use. Only if none of them may be used are all looked at. Decisions are the same: test_traffic_ranking compares them with a look at all servers on drawn fleets.

--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -132,6 +132,8 @@
     generation: int = 0
     store_version: int = 0
     evacuations_version: int = 0
+    # Number of servers that have announced their leaving in an answer.
+    _announced_leavings: int = 0
     _removals: deque = Factory(lambda: deque(maxlen=MAX_REMEMBERED_REMOVALS))
     _removal_version_by_id: dict[str, int] = Factory(dict)
     # Start of the process that has stated in an answer that it leaves, by the server's id.
@@ -267,6 +269,11 @@
         self.generation += 1
         return True
 
+    @property
+    def usable_version(self):
+        """A value that changes whenever the result of `usable_servers` may change."""
+        return self.generation, self._announced_leavings
+
     def usable_servers(self, service):
         """Return the servers of a service that may be sent requests.
 
@@ -303,6 +310,7 @@
             return False
         self._leaving_started_ms_by_id.pop(server_id, None)
         self._leaving_started_ms_by_id[server_id] = started_ms
+        self._announced_leavings += 1
         if len(self._leaving_started_ms_by_id) > MAX_REMEMBERED_LEAVINGS:
             del self._leaving_started_ms_by_id[next(iter(self._leaving_started_ms_by_id))]
         return True
--- a/figfold/core/traffic/placement.py
+++ b/figfold/core/traffic/placement.py
@@ -8,11 +8,11 @@
 """
 
 from functools import lru_cache
-from hashlib import blake2b
-from math import log
 
 from attrs import define
 
+from figfold.core.traffic.ranking import hash_position, rendezvous_weights
+
 # A region serves this multiple of its share of all slots by itself before it assigns objects to
 # other regions. Demand is not known here, but no region has more than twice its neighbours' users.
 LOCAL_HEADROOM = 1.3
@@ -51,7 +51,7 @@
         ready : list[FleetServer]
             Those of them that may get this request now.
         """
-        target_region = self._target_region(service, key, usable)
+        target_region = self.target_region(service, key, self._slots_by_region(usable))
         in_region = [one for one in ready if self._region_of(one) == target_region] or ready
 
         return _sort_by_weight(service, key, in_region)[:REGION_CANDIDATES]
@@ -66,15 +66,14 @@
         ]
         return _sort_by_weight(service, key, other_regions)[:OVERFLOW_CANDIDATES]
 
-    def part_by_region(self, server_region, usable):
+    def part_by_region(self, server_region, slots_by_region):
         """Return the part of each region's objects whose servers are in a region.
 
         Parameters
         ----------
-        usable : list[FleetServer]
-            All usable servers of the service.
+        slots_by_region : tuple[tuple[str, int], ...]
+            Of all usable servers of the service, sorted.
         """
-        slots_by_region = self._slots_by_region(usable)
         return {
             region: dict(_region_shares(region, self._regions(), slots_by_region)).get(
                 server_region, 0.0
@@ -93,9 +92,16 @@
             slots_by_region[region] = slots_by_region.get(region, 0) + server.record.slots
         return tuple(sorted(slots_by_region.items()))
 
-    def _target_region(self, service, key, usable):
-        position = _hash_position(service, key)
-        shares = _region_shares(self.region, self._regions(), self._slots_by_region(usable))
+    def target_region(self, service, key, slots_by_region):
+        """Return the region whose servers hold an object.
+
+        Parameters
+        ----------
+        slots_by_region : tuple[tuple[str, int], ...]
+            Of the usable servers of the service, sorted.
+        """
+        position = hash_position(service, key)
+        shares = _region_shares(self.region, self._regions(), slots_by_region)
         for region, share in shares:
             position -= share
             if position < 0.0:
@@ -104,11 +110,10 @@
 
 
 def _sort_by_weight(service, key, servers):
-    return sorted(
-        servers,
-        key=lambda one: _rendezvous_weight(service, key, one.record.id, one.record.slots),
-        reverse=True,
-    )
+    server_by_id = {one.record.id: one for one in servers}
+    slots_by_id = ((one.record.id, one.record.slots) for one in servers)
+    ranked = sorted(rendezvous_weights(service, key, slots_by_id), reverse=True)
+    return [server_by_id[one] for _, one in ranked]
 
 
 @lru_cache(maxsize=4096)
@@ -132,21 +137,3 @@
         return ((own_region, 1.0),)
     others = ((one, (1.0 - own_share) * part / total_spare) for one, part in spare.items() if part)
     return ((own_region, own_share), *others)
-
-
-def unit_hash(*parts):
-    """Return a hash of the parts, as a number above 0 and up to 1."""
-    text = "\0".join(parts).encode("utf-8", "surrogateescape")
-    return (int.from_bytes(blake2b(text, digest_size=8).digest()) + 1) / (2**64 + 1)
-
-
-@lru_cache(maxsize=65536)
-def _hash_position(service, key):
-    """Return the position of an object between 0 and 1, which does not depend on the servers."""
-    return unit_hash(service, key)
-
-
-@lru_cache(maxsize=65536)
-def _rendezvous_weight(service, key, server_id, slots):
-    """Return the weight of a server for an object (weighted rendezvous hashing)."""
-    return -slots / log(unit_hash(service, key, server_id))
--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -6,10 +6,13 @@
 than a cold run at a free slot elsewhere.
 """
 
+from heapq import nlargest
 from math import inf
 
 from attrs import Factory, define, frozen
 
+from figfold.core.traffic.placement import OVERFLOW_CANDIDATES, REGION_CANDIDATES
+from figfold.core.traffic.ranking import FleetRanking
 from figfold.core.traffic.server_limits import ServerLimits, part_of_limit
 from figfold.core.traffic.server_load import ServerLoad
 
@@ -87,6 +90,7 @@
         ``(place) -> float``, the round-trip time from this entry in seconds.
     load_by_server : dict[str, ServerLoad]
     limits : ServerLimits
+    ranking : FleetRanking
     """
 
     fleet: object
@@ -94,6 +98,9 @@
     region_by_place: dict
     round_trip_s: object
     limits: ServerLimits
+    ranking: FleetRanking = Factory(
+        lambda self: FleetRanking(self.fleet, self.region_by_place), takes_self=True
+    )
     load_by_server: dict = Factory(dict)
     _started_ms_by_server: dict = Factory(dict)
 
@@ -113,10 +120,10 @@
 
     def free_slots(self, service, region, now_s):
         """Return the estimated number of free slots at a region's servers."""
+        servers = self.ranking.roster(service).servers_by_region.get(region, {})
         return sum(
             max(0.0, server.record.slots - self.load(server).estimated_requests(now_s))
-            for server in self.fleet.usable_servers(service)
-            if self.region_by_place.get(server.record.place) == region
+            for server in servers.values()
         )
 
     def remove_server(self, server_id):
@@ -137,7 +144,7 @@
             return 1.0 / len(entry_regions)
         parts = self.placement.part_by_region(
             self.region_by_place.get(server.record.place, ""),
-            self.fleet.usable_servers(server.record.service),
+            self.ranking.roster(server.record.service).slots_by_region,
         )
         return part_of_limit(self.placement.region, entry_regions, parts)
 
@@ -145,7 +152,7 @@
         """Return the time until a limit permits a request; 0 if no limit is the reason."""
         waits_s = [
             self._limit_wait_s(one, now_s)
-            for one in self.fleet.usable_servers(request.service)
+            for one in self.ranking.roster(request.service).servers
             if self._is_in_home_region(one, request) and one.record.id not in request.tried
         ]
         return min(waits_s, default=0.0)
@@ -181,9 +188,45 @@
         return best
 
     def _candidates(self, request, now_s, may_use_cold_server):
+        if not request.key:
+            return self._all_candidates(request, now_s, may_use_cold_server)
+
+        def is_allowed(server):
+            return (
+                server.record.id not in request.tried
+                and self._limit_wait_s(server, now_s) <= 0.0
+                and now_s >= self.load(server).backoff_until_s
+                and (not server.is_cold(now_s) or may_use_cold_server(server))
+            )
+
+        first = self._first_candidates(request, is_allowed)
+        # Only if none of these is allowed do all servers have to be looked at.
+        return first or self._all_candidates(request, now_s, may_use_cold_server)
+
+    def _first_candidates(self, request, is_allowed):
+        service, key, homes = request.service, request.key, request.home_regions
+        if request.is_overflow:
+            regions = request.overflow_regions - {self.placement.region}
+            ranked = [
+                one
+                for region in (regions & homes if homes else regions)
+                for one in self.ranking.ranked(
+                    service, region, key, is_allowed, OVERFLOW_CANDIDATES
+                )
+            ]
+            first = nlargest(OVERFLOW_CANDIDATES, ranked, key=lambda one: one[0])
+        else:
+            slots = self.ranking.roster(service).slots_by_region
+            if homes:
+                slots = tuple(one for one in slots if one[0] in homes)
+            region = self.placement.target_region(service, key, slots)
+            first = self.ranking.ranked(service, region, key, is_allowed, REGION_CANDIDATES)
+        return [server for _, server in first]
+
+    def _all_candidates(self, request, now_s, may_use_cold_server):
         usable = [
             one
-            for one in self.fleet.usable_servers(request.service)
+            for one in self.ranking.roster(request.service).servers
             if self._is_in_home_region(one, request)
         ]
         untried = [
--- a/figfold/core/traffic/server_limits.py
+++ b/figfold/core/traffic/server_limits.py
@@ -9,7 +9,7 @@
 
 from attrs import Factory, define
 
-from figfold.core.traffic.placement import unit_hash
+from figfold.core.traffic.ranking import unit_hash
 
 # Fraction of a limit that the entries use. The rest is a reserve for entries that do not know the
 # others yet, or that have just been replaced.
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -8,6 +8,7 @@
 from figfold.core.traffic.configuration import Configuration
 from figfold.core.traffic.fleet import Fleet
 from figfold.core.traffic.limiters import ColdServerLimiter, places_sharing_cold_server
+from figfold.core.traffic.ranking import FleetRanking
 from figfold.entry.clock import now_s
 
 # Round-trip times that are assumed until a peer of the place has answered once.
@@ -51,6 +52,9 @@
     operator_read_s: float = -inf
     change_event: Event = Factory(Event)
     cold_limiter: ColdServerLimiter = Factory(ColdServerLimiter)
+    ranking: FleetRanking = Factory(
+        lambda self: FleetRanking(self.fleet, self.region_by_place), takes_self=True
+    )
     registered_entries: set = Factory(set)
     _round_trip_s_by_place: dict = Factory(dict)
     _live: dict | None = None
@@ -159,10 +163,8 @@
 
     def regions_with_free_slots(self, service):
         """Return the regions of which all recent reports state enough free slots for overflow."""
-        slots_by_region, free_by_region = {}, {}
-        for server in self.fleet.usable_servers(service):
-            region = self.region_by_place.get(server.record.place, "")
-            slots_by_region[region] = slots_by_region.get(region, 0) + server.record.slots
+        slots_by_region = dict(self.ranking.roster(service).slots_by_region)
+        free_by_region = {}
         for place, load in self.membership.recent_loads(service, now_s()):
             region = self.region_by_place.get(place, "")
             free_by_region.setdefault(region, []).append(load.room)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -223,6 +223,7 @@
             settings.region_by_place,
             self.cluster.round_trip_s,
             ServerLimits(settings.name),
+            self.cluster.ranking,
         )
         sender = Sender(
             self.connections,
