Pass the store's rows through a tree of entries instead of from one to all

Cause: all entries of a region asked the one with the lowest name, 64 of them in the large deployment, at a machine of 0.43 cores. Now none answers more than eight; each asks an earlier one of the sorted names, so that none asks in a circle, and a reply is sent when the rows have been confirmed, so that the waits of the levels do not add up.

--- a/figfold/core/traffic/sync_source.py
+++ b/figfold/core/traffic/sync_source.py
@@ -1,5 +1,7 @@
 """Chooses the entry from which the others of a region learn the store's rows."""
 
+from bisect import bisect_left
+
 from attrs import Factory, define
 
 # Data older than this are no better than this entry's own read of the store.
@@ -8,19 +10,25 @@
 SOURCE_BACKOFF_S = 3.0
 
 
+# Entries that learn from one other entry. With more in a region, the rows pass through several.
+MAX_LISTENERS = 8
+
+
 @define
 class SyncSourceSelector:
-    """Chooses the entry to ask for the store's rows, the same one at all entries of a region.
+    """Chooses the entry to ask for the store's rows.
 
-    The live entry of the region with the lowest name reads the store, and the others ask it
-    instead of reading the store themselves. One that does not answer, or whose data are stale, is
-    skipped for a while.
+    The live entries of a region, sorted by name, form a tree. The first one reads the store, and
+    each other one asks an earlier one, so that none answers more than `MAX_LISTENERS` and none asks
+    in a circle. One that does not answer, or whose data are stale, is left out for a while.
     """
 
     name: str
     region: str
     region_by_place: dict
     _backoff_until_s: dict = Factory(dict)
+    _live: dict | None = None
+    _region_names: list = Factory(list)
 
     def choose(self, place_by_live_entry, now_s):
         """Return the name of the entry to ask, or this entry's own name to read the store.
@@ -28,15 +36,35 @@
         Parameters
         ----------
         place_by_live_entry : dict[str, str]
+            Sorted by name; a changed one is another object.
         now_s : float
         """
-        names = [
-            name
-            for name, place in sorted(place_by_live_entry.items())
-            if self.region_by_place.get(place) == self.region
-            and now_s >= self._backoff_until_s.get(name, now_s)
-        ]
-        return min([*names, self.name])
+        names = self._names_of_region(place_by_live_entry)
+        skipped = self._skipped(now_s)
+        position = bisect_left(names, self.name)
+        if skipped:
+            names = [one for one in names[:position] if one not in skipped]
+            position = len(names)
+        return names[(position - 1) // MAX_LISTENERS] if position else self.name
+
+    def has_levels(self, place_by_live_entry):
+        """Return whether rows pass through several entries of the region."""
+        return len(self._names_of_region(place_by_live_entry)) > MAX_LISTENERS + 1
+
+    def _names_of_region(self, place_by_live_entry):
+        if place_by_live_entry is not self._live:
+            self._live = place_by_live_entry
+            self._region_names = sorted(
+                name
+                for name, place in place_by_live_entry.items()
+                if self.region_by_place.get(place) == self.region
+            )
+        return self._region_names
+
+    def _skipped(self, now_s):
+        for name in [one for one, until_s in self._backoff_until_s.items() if now_s >= until_s]:
+            del self._backoff_until_s[name]
+        return self._backoff_until_s
 
     def fallback(self, place_by_live_entry, now_s):
         """Return an entry to ask if the store cannot be read, or an empty string."""
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -139,14 +139,25 @@
         if self.cluster.servers_age_s(started) > MAX_SOURCE_AGE_S:
             return SOURCE_POLL_S if self._renew_old_rows(peer) else ERROR_PAUSE_S
         if peer and self._ask_peer(peer):
+            self._notify_confirmed()
             return 0.0
-        if not self._read_servers():
+        is_read = self._read_servers()
+        self._notify_confirmed()
+        if not is_read:
             is_renewed = self._ask_fallback()
             return SOURCE_POLL_S if peer and is_renewed else ERROR_PAUSE_S
         if peer:
             return SOURCE_POLL_S
         return max(0.0, self.settings.server_read_interval_s - (now_s() - started))
 
+    def _notify_confirmed(self):
+        """Wake the entries that wait for a reply, since the rows are known to be newer.
+
+        Otherwise the waits of the entries through which rows pass would add up.
+        """
+        if self.source_selector.has_levels(self.cluster.place_by_live_entry()):
+            self.cluster.notify_change()
+
     def _renew_old_rows(self, peer):
         """Read the store and ask a peer at the same time; return whether the rows are fresh then.
 
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -164,6 +164,37 @@
                 run_fleet(test)
 
 
+class LevelsTest(unittest.TestCase):
+    """Regions of so many entries that the rows pass through several of them."""
+
+    ENTRIES_PER_PLACE = 16
+    ROW_REQUESTS_PER_S = 30.0
+    AGE_S = 1.5
+
+    def test_rows_reach_all_entries_in_time_and_none_answers_too_many(self):
+        def test(fleet):
+            fleet.row_requests_by_entry.clear()
+            ages_s = []
+            for _ in range(20):
+                eventlet.sleep(0.5)
+                clusters = [one.cluster for one in fleet.gateway_by_entry.values()]
+                ages_s += [one.servers_age_s(fleet.hub.now) for one in clusters]
+            self.assertLess(max(ages_s), self.AGE_S)
+            most = max(fleet.row_requests_by_entry.values()) / 10.0
+            self.assertLessEqual(most, self.ROW_REQUESTS_PER_S)
+            for number in range(3):
+                fleet.remove_server(f"a1-s{number}")
+                eventlet.sleep(1.3)
+                self.assertEqual(fleet.users_of(f"a1-s{number}"), [])
+            reader = fleet.reader_of("a")
+            fleet.kill(reader)
+            fleet.remove_server("a1-s3")
+            eventlet.sleep(DRAIN_S)
+            self.assertEqual(fleet.users_of("a1-s3"), [])
+
+        run_fleet(test, self.ENTRIES_PER_PLACE, 6)
+
+
 class LeavingSoakTest(unittest.TestCase):
     # Entries that were replaced, refused by the store or cut off from each other sent requests to
     # servers that had left; the test guards against that in any mix of these.
--- a/test/test_traffic_rules.py
+++ b/test/test_traffic_rules.py
@@ -24,7 +24,11 @@
 )
 from figfold.core.traffic.server_load import ServerLoad
 from figfold.core.traffic.splitting import ServiceSplitter
-from figfold.core.traffic.sync_source import SOURCE_BACKOFF_S, SyncSourceSelector
+from figfold.core.traffic.sync_source import (
+    MAX_LISTENERS,
+    SOURCE_BACKOFF_S,
+    SyncSourceSelector,
+)
 from test.test_traffic_fleet import make_record
 
 
@@ -304,6 +308,36 @@
         self.assertEqual(selector.choose(self.PLACES, 0.1), "e2")
         self.assertEqual(selector.choose(self.PLACES, SOURCE_BACKOFF_S + 0.1), "e1")
 
+    # All other entries of a region asked one entry, 64 at one machine with less than half a core.
+    def test_no_entry_answers_more_than_a_few_and_none_asks_in_a_circle(self):
+        for count in (2, 9, 10, 70, 333):
+            places = dict(sorted((f"e{number:03}", "a1") for number in range(count)))
+            for skipped in ((), ("e000",), ("e001", "e002", "e005")):
+                source_by_name = {}
+                for name in places:
+                    selector = self.selector(name, "a")
+                    for one in skipped:
+                        selector.record_failure(one, 0.0)
+                    source_by_name[name] = selector.choose(places, 0.1)
+                listeners = Counter(
+                    source for name, source in source_by_name.items() if source != name
+                )
+                # The skipped ones, which ask as well, know nothing of being skipped.
+                self.assertLessEqual(max(listeners.values(), default=0), MAX_LISTENERS + 3)
+                self.assertLessEqual(max(map(self.depth(source_by_name), places)), 3, count)
+                self.assertLessEqual(set(skipped) & set(listeners), set())
+
+    def depth(self, source_by_name):
+        def depth_of(name):
+            steps = 0
+            while source_by_name[name] != name:
+                self.assertLess(source_by_name[name], name)
+                name = source_by_name[name]
+                steps += 1
+            return steps
+
+        return depth_of
+
     def test_entry_that_cannot_read_the_store_asks_another_region(self):
         self.assertEqual(self.selector("e1", "a").fallback(self.PLACES, 0.0), "f1")
         self.assertEqual(self.selector("e1", "a").fallback({"e1": "a1"}, 0.0), "")
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -81,7 +81,9 @@
 
     def _call(self, other, message):
         fleet = self.fleet
-        if not isinstance(message, KnowledgeRequest):
+        if isinstance(message, KnowledgeRequest):
+            fleet.row_requests_by_entry[other] += 1
+        else:
             fleet.messages_by_entry[self.entry] += 1
             fleet.messages_by_entry[other] += 1
         if fleet.random.random() < fleet.loss:
@@ -121,6 +123,8 @@
         Fraction of the calls between entries that are lost.
     messages_by_entry : Counter
         Calls that an entry has made or received, but for those about the store's rows.
+    row_requests_by_entry : Counter
+        Requests for the store's rows that an entry has received.
     slow_pairs : set[frozenset[str]]
         Pairs of entries whose replies with rows arrive too late, as on a full link; reports do not.
     """
@@ -140,6 +144,7 @@
     slow_pairs: set = Factory(set)
     loss: float = 0.0
     messages_by_entry: Counter = Factory(Counter)
+    row_requests_by_entry: Counter = Factory(Counter)
     random: Random = Factory(lambda: Random(1))
     leavings: list = Factory(list)
     _starts: int = 0
