Accept no new request before a stopping entry ends, and answer those that were accepted

Cause: the entry ended at the first moment at which it knew of no request; connections whose head had not been read yet were cut off. The WSGI server itself shuts idle connections when it is ended, so that it is left running: its listener stops, hands over what was pending, and the entry ends when no request has come for a while. Besides, a SIGHUP before the handlers were set ended the process.

--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -49,6 +49,8 @@
         (requests are refused as not run).
     limits : callable
         Returns the `CallerLimits` in force.
+    in_progress, started : int
+        Requests that have no complete answer yet, and all since the start of the process.
     """
 
     serve: Callable
@@ -58,10 +60,12 @@
     limits: Callable
     body_memory: BodyMemoryLimiter = Factory(BodyMemoryLimiter)
     in_progress: int = 0
+    started: int = 0
 
     def __call__(self, environ, start_response):
         """Answer one request, which counts as in progress until its last byte is written."""
         self.in_progress += 1
+        self.started += 1
         try:
             parts = self._answer(environ, start_response)
         except BaseException:
--- /dev/null
+++ b/figfold/gateway/listener.py
@@ -0,0 +1,48 @@
+"""Listening socket that stops without cutting off connections that it has accepted."""
+
+from collections import deque
+from socket import SHUT_RDWR
+
+from attrs import Factory, define
+from eventlet.event import Event
+from eventlet.greenio.base import socket_accept
+
+
+@define(eq=False)
+class StoppableListener:
+    """Wraps a listening socket for the WSGI server, which closes idle connections when it ends.
+
+    After a stop the server still gets the connections that were pending, and then none any more.
+    """
+
+    sock: object
+    _pending: deque = Factory(deque)
+    _is_stopped: bool = False
+
+    def accept(self):
+        """Return the next connection and its address."""
+        if not self._is_stopped:
+            try:
+                return self.sock.accept()
+            except OSError:
+                if not self._is_stopped:
+                    raise
+        if not self._pending:
+            Event().wait()
+        client, address = self._pending.popleft()
+        client.setblocking(False)
+        return type(self.sock)(client), address
+
+    def stop(self):
+        """Accept no connection that is not pending now."""
+        self._is_stopped = True
+        while (accepted := socket_accept(self.sock.fd)) is not None:
+            self._pending.append(accepted)
+        try:
+            self.sock.shutdown(SHUT_RDWR)
+        except OSError:
+            # Closed already, so that nothing is accepted either.
+            pass
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
--- a/figfold/gateway/main.py
+++ b/figfold/gateway/main.py
@@ -5,6 +5,8 @@
 import sys
 import warnings
 
+# Until its handler is set, this signal would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # All addresses are numeric, and greendns takes 8 MB. eventlet reads this when it is imported.
 os.environ["EVENTLET_NO_GREENDNS"] = "yes"
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -32,6 +32,7 @@
 )
 from figfold.gateway.cluster_view import ClusterView
 from figfold.gateway.entry_prober import EntryProber
+from figfold.gateway.listener import StoppableListener
 from figfold.gateway.protocol import make_gateway_protocol
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
@@ -56,6 +57,10 @@
 ANSWER_FRACTION = 0.93
 FINISH_FRACTION = 0.98
 STOP_POLL_S = 0.02
+# Time without a request after which a stopping entry accepts no more.
+QUIET_S = 0.3
+# Time for the heads of the last requests to be read.
+LAST_HEADS_S = 0.1
 REGISTER_RETRY_S = 1.0
 CONFIRMATION_TTL_S = 4.0
 # Time after which an entry that is dead or has left is forgotten.
@@ -108,6 +113,7 @@
     quarantine: Quarantine = None
     stage: str = "serving"
     _listeners: list = field(factory=list)
+    _caller_listener: StoppableListener = None
     _logged_causes: set = field(factory=set)
 
     @classmethod
@@ -258,7 +264,7 @@
         settings = self.settings
         self.peer_server.start()
         protocol = make_protocol(self.metrics)
-        self._serve(
+        self._caller_listener = self._serve(
             settings.caller_address,
             self.app,
             make_gateway_protocol(self.metrics, self._limits, self._may_overlap),
@@ -293,11 +299,26 @@
         while now_s() < began + SERVE_FRACTION * grace_s:
             eventlet.sleep(STOP_POLL_S)
         self.stage = "closed"
-        while self.app.in_progress and now_s() < began + FINISH_FRACTION * grace_s:
-            eventlet.sleep(STOP_POLL_S)
+        self._finish_requests(began + ANSWER_FRACTION * grace_s, began + FINISH_FRACTION * grace_s)
         self.log.bind(in_progress=self.app.in_progress).info("stopped")
         self.event_log.flush()
 
+    def _finish_requests(self, accept_until_s, until_s):
+        """Wait until all requests that were accepted have been answered.
+
+        A request that was just accepted is not in progress until its head has been read. New ones
+        are accepted until none has come for a while, or until ``accept_until_s``.
+        """
+        started, quiet_since_s = self.app.started, now_s()
+        while now_s() < min(accept_until_s, quiet_since_s + QUIET_S):
+            if self.app.in_progress or self.app.started != started:
+                started, quiet_since_s = self.app.started, now_s()
+            eventlet.sleep(STOP_POLL_S)
+        self._caller_listener.stop()
+        stopped_s = now_s()
+        while now_s() < until_s and (self.app.in_progress or now_s() < stopped_s + LAST_HEADS_S):
+            eventlet.sleep(STOP_POLL_S)
+
     def reload(self, settings):
         """Put all settings in force, or none; return the changed ones that need a restart.
 
@@ -334,7 +355,9 @@
 
     def _serve(self, address, app, protocol):
         host, port = address.rsplit(":", 1)
-        listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
+        listener = StoppableListener(
+            eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
+        )
         self._listeners.append(listener)
         eventlet.spawn_n(
             wsgi.server,
@@ -349,6 +372,7 @@
             debug=False,
             capitalize_response_headers=False,
         )
+        return listener
 
     def _start_loop(self, name, interval_s, step):
         eventlet.spawn_n(run_every, interval_s, step, name, self.metrics, self.log)
--- a/test/test_entry_prober.py
+++ b/test/test_entry_prober.py
@@ -126,6 +126,15 @@
         self.assertTrue(self.members.should_sync(differing, 100.0))
         self.assertFalse(self.members.should_sync(differing, 100.5))
 
+    # The rows of entries stay in the store after these have ended.
+    def test_registered_entry_is_not_live_before_it_is_heard(self):
+        self.members.update_from_list([known("x", 0)], 0.0)
+        self.members.peers_to_contact(1.0)
+        self.assertEqual(self.live(), set())
+        report = EntryReport("x", "a1", 1, "", "10.0.0.9:4", "", False, 0, "", 0.0, revision=20)
+        self.members.record_report(report, 2.0)
+        self.assertEqual(self.live(), {"x"})
+
     def test_dead_entry_is_forgotten_after_a_time(self):
         self.members.add_known_entries([known("x", 1, EntryState.DEAD)], 0.0)
         self.members.peers_to_contact(self.members.settings.forget_after_s + 1.0)
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket as green_socket
 from eventlet.green import subprocess as green_subprocess
 
-from bench.platform_deployment import PlatformDeployment, ServiceServers, make_configuration
+from bench.platform_deployment import HOST, PlatformDeployment, ServiceServers, make_configuration
 from test.support import ROOT, host_and_port
 
 REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
@@ -404,6 +404,52 @@
         eventlet.sleep(0.3)
         self.assertEqual(entry.child.poll(), 0)
 
+    # The entry ended at the first moment at which it knew of no request, though some had just been
+    # accepted.
+    def test_stop_under_load_cuts_off_no_request_that_was_accepted(self):
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        statuses = Counter()
+        callers = [
+            eventlet.spawn(self.call_until_refused, entry, number, statuses) for number in range(16)
+        ]
+        eventlet.sleep(0.2)
+        entry.terminate()
+        for caller in callers:
+            caller.wait()
+        self.assertGreater(statuses[200], 50)
+        self.assertEqual(set(statuses) - {200, 503}, set(), statuses)
+        self.assertEqual(entry.child.wait(timeout=5.0), 0)
+
+    def call_until_refused(self, entry, number, statuses):
+        """Send requests on new connections until none is accepted any more."""
+        host, port = entry.address["caller"].split(":")
+        for count in range(2000):
+            try:
+                sock = green_socket.create_connection((host, int(port)))
+            except OSError:
+                return
+            lines = ["GET /read/1 HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: l{number}-{count}"]
+            head = "\r\n".join(lines) + "\r\n\r\n"
+            try:
+                with sock:
+                    sock.sendall(head.encode())
+                    answer = sock.recv(1000)
+            except OSError as error:
+                answer = type(error).__name__.encode()
+            status = answer.split()[1] if answer.startswith(b"HTTP/1.1 ") else answer
+            statuses[int(status) if status.isdigit() else status] += 1
+
+    # Before its handlers were set, the signal ended the process.
+    def test_hang_up_at_the_start_does_not_end_the_process(self):
+        entry = self.deployment.start_entry_process("entry-1", "bne-north")
+        # The interpreter itself takes some time until it runs the first line of the program.
+        eventlet.sleep(0.1)
+        for _ in range(40):
+            entry.hang_up()
+            eventlet.sleep(0.02)
+        self.assertIsNone(entry.child.poll())
+        entry.wait_ready()
+
     def test_reload_applies_all_settings_or_none(self):
         entry = self.deployment.start_entry("entry-1", "bne-north")
         text = entry.settings.read_text(encoding="utf-8")
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -33,6 +33,7 @@
         self.started, self.ended, self.cancelled, self.running = [], [], [], 0
         self.most_running = 0
         self.body_bytes = 10
+        self.rest_of = {}
         metrics = Metrics()
         self.app = RequestApp(self.serve, lambda: self.stage, metrics, logger, CallerLimits)
         protocol = make_gateway_protocol(
@@ -61,8 +62,10 @@
             self.ended.append(request.request_id)
             headers = [("Attempt-Id", request.request_id)]
             body = b"x" * self.body_bytes
-            answer = {"status": 200, "headers": headers, "body": body, "rest": None}
-            return Ok(SimpleNamespace(**answer, length=len(body), server="s"))
+            rest = self.rest_of.get(request.request_id)
+            answer = {"status": 200, "headers": headers, "body": body, "server": "s"}
+            length = len(body) + (100 if rest else 0)
+            return Ok(SimpleNamespace(**answer, rest=rest and rest(), length=length))
         except GreenletExit:
             self.cancelled.append(request.request_id)
             raise
@@ -179,6 +182,29 @@
         sock.sendall(get("a", LONG_S) + get("b", SHORT_S) + get("c", SHORT_S))
         self.assertEqual(self.read_answers(sock, 3)[0], ["a", "b", "c"])
 
+    def test_answer_that_breaks_off_is_the_last_and_not_complete(self):
+        def broken_rest():
+            yield b"y" * 5
+            raise OSError("the server broke off")
+
+        self.rest_of = {"b": broken_rest}
+        for body_bytes in (100_000, 2 * MAX_WAITING_ANSWER_BYTES):
+            self.body_bytes = body_bytes
+            sock = self.connect()
+            sock.sendall(get("a", LONG_S) + get("b", SHORT_S) + get("c", SHORT_S))
+            data = b""
+            with eventlet.Timeout(2.0, False):
+                while chunk := sock.recv(1 << 20):
+                    data += chunk
+            self.assertEqual(chunk, b"")
+            _, answer_of_a, rest = data.partition(b"Attempt-Id: a")
+            _, answer_of_b, rest = rest.partition(b"Attempt-Id: b")
+            self.assertTrue(answer_of_a and answer_of_b)
+            head, _, body = rest.partition(b"\r\n\r\n")
+            length = int(head.partition(b"Content-Length: ")[2].split()[0])
+            self.assertLess(len(body), length)
+            self.assertNotIn(b"Attempt-Id: c", body)
+
     def test_connection_is_used_on_after_an_overlap(self):
         sock = self.connect()
         for number in range(3):
