--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -7,7 +7,7 @@
 import sys
 import time
 from collections import Counter
-from http.client import HTTPException
+from http.client import HTTPException, parse_headers
 
 import eventlet
 
@@ -16,6 +16,8 @@
 
 from bench.deployment import EXAMPLES  # noqa: E402
 from bench.platform_deployment import (  # noqa: E402
+    CALL_TIMEOUT_S,
+    HOST,
     PlatformDeployment,
     ServiceServers,
     make_configuration,
@@ -32,6 +34,9 @@
 MAX_ATTEMPTS = 3
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STOP_LIMIT_S = 4.0
+# Reads that a caller sends before the first is answered, and how long a server takes for each.
+AHEAD_READS = 4
+AHEAD_RUN_S = 0.4
 
 
 def make_routes(services, booking_service):
@@ -49,6 +54,39 @@
     }
 
 
+def send_ahead(entry, reads):
+    """Send reads on one connection at once; return the ids of the answers, in their order.
+
+    Parameters
+    ----------
+    entry : Entry
+    reads : list[tuple[str, str]]
+        Id and object of each.
+    """
+    host, port = entry.address["caller"].split(":")
+    with eventlet.connect((host, int(port))) as sock, eventlet.Timeout(CALL_TIMEOUT_S):
+        for request_id, key in reads:
+            lines = [
+                "GET /read/1 HTTP/1.1",
+                f"Host: {HOST}",
+                f"Attempt-Id: {request_id}",
+                f"Affinity-Key: {key}",
+            ]
+            sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        file = sock.makefile("rb")
+        return [read_answer(file) for _ in reads]
+
+
+def read_answer(file):
+    """Read one of several answers; return the id that it names, else its status, or None."""
+    status_line = file.readline().split()
+    if not status_line:
+        return None
+    headers = parse_headers(file)
+    file.read(int(headers["Content-Length"]))
+    return headers.get("Attempt-Id", status_line[1].decode())
+
+
 class PlatformDemo:
     """One run of the demo: the deployment, its callers and the failures found.
 
@@ -89,6 +127,7 @@
             place = self.places[number % len(self.places)]
             self._threads.append(eventlet.spawn(self._call, place))
         eventlet.sleep(PHASE_S)
+        self._send_ahead()
         self._change_configuration()
         self._evacuate()
         self._lose_answers()
@@ -124,6 +163,24 @@
             entry.wait_ready()
         self._log(f"{len(started)} entries are ready")
 
+    def _send_ahead(self):
+        """Send several reads on one connection before the first is answered."""
+        entry = self.random.choice(self.deployment.entries)
+        endpoints = self.deployment.endpoint_by_id.values()
+        usual_s = {one.id: one.cold_s for one in endpoints}
+        for endpoint in endpoints:
+            endpoint.cold_s = AHEAD_RUN_S
+        ids = [f"ahead-{number}" for number in range(AHEAD_READS)]
+        began_s = time.monotonic()
+        answered = send_ahead(entry, [(one, f"new-{one}") for one in ids])
+        took_s = time.monotonic() - began_s
+        for endpoint in endpoints:
+            endpoint.cold_s = usual_s[endpoint.id]
+        self._record_failure(answered != ids, f"reads sent ahead were answered as {answered}")
+        is_slow = took_s > AHEAD_READS * AHEAD_RUN_S
+        self._record_failure(is_slow, f"{AHEAD_READS} reads sent ahead took {took_s:.1f} s")
+        self._log(f"{AHEAD_READS} reads on one connection were answered in {took_s:.1f} s")
+
     def _change_configuration(self):
         moved = make_configuration(5, make_routes(self.services, self.services[2]))
         self.deployment.rows.put("op", "config", moved)
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from result import Err, Ok
 
+from bench.platform_demo import read_answer
 from figfold.core.codes import Code
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.entry.metrics import Metrics
@@ -84,15 +85,10 @@
         began_s = time.monotonic()
         with eventlet.Timeout(limit_s, False):
             while len(ids) < count:
-                status = file.readline()
-                if not status:
+                answer = read_answer(file)
+                if answer is None:
                     break
-                headers = {}
-                while (line := file.readline().strip()) != b"":
-                    name, _, value = line.partition(b": ")
-                    headers[name.lower()] = value.decode()
-                file.read(int(headers[b"content-length"]))
-                ids.append(headers.get(b"attempt-id", status.split()[1].decode()))
+                ids.append(answer)
         return ids, time.monotonic() - began_s
 
     # The second answer took the sum of both runs.
