--- a/figfold/core/traffic/configuration.py
+++ b/figfold/core/traffic/configuration.py
@@ -92,13 +92,22 @@
     idle_timeout_s: float = 15.0
 
 
+@frozen
+class _HostRoutes:
+    """Routes of a host by prefix, and the lengths of the prefixes, the longest first."""
+
+    route_by_prefix: dict[str, Route] = Factory(dict)
+    lengths: list[int] = Factory(list)
+
+
 def _index_routes(route_by_name):
-    """Return the routes by host, sorted by descending length of prefix."""
+    """Return the `_HostRoutes` by host."""
     routes_by_host = {}
     for route in route_by_name.values():
-        routes_by_host.setdefault(route.host, []).append(route)
+        routes = routes_by_host.setdefault(route.host, _HostRoutes())
+        routes.route_by_prefix.setdefault(route.prefix, route)
     for routes in routes_by_host.values():
-        routes.sort(key=lambda route: -len(route.prefix))
+        routes.lengths.extend(sorted({len(one) for one in routes.route_by_prefix}, reverse=True))
     return routes_by_host
 
 
@@ -119,7 +128,11 @@
 
     def match(self, host, path):
         """Return the host's route with the longest prefix that matches the path, or None."""
-        for route in self._routes_by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        routes = self._routes_by_host.get(host)
+        if routes is None:
+            return None
+        for length in routes.lengths:
+            route = routes.route_by_prefix.get(path[:length])
+            if route is not None:
                 return route
         return None
