Keep what requests and reports ask of all entries and servers until these change

The number of entries that share a cold server and the retry budget, and the region's free slots that reports state, were computed for each request and each report from all entries and servers. Besides, the times of all requests since the start were kept until the first retry.

--- a/figfold/core/members.py
+++ b/figfold/core/members.py
@@ -91,6 +91,8 @@
         ``(items, count) -> list``, a random sample of a list, in random order.
     live_version : int
         Rises with each change of the live entries.
+    known_version : int
+        Rises when an entry is added or forgotten.
     changed_at_s : float
         Time of the latest change of any entry.
     digest : int
@@ -104,6 +106,7 @@
     sample: object
     entry_by_name: dict[str, Member] = Factory(dict)
     live_version: int = 0
+    known_version: int = 0
     changed_at_s: float = float("-inf")
     digest: int = 0
     changes: int = 0
@@ -139,7 +142,7 @@
         for one in instances:
             if one.name != self.own.name and one.name not in self.entry_by_name:
                 member = Member(one.name, one.place, one.peer_address, since_s=now_s)
-                self.entry_by_name[one.name] = member
+                self._add(member)
                 self._silent[one.name] = now_s
 
     def record_report(self, report, now_s, request_sent_at_s=None):
@@ -198,7 +201,7 @@
         member = self.entry_by_name.get(known.name)
         if member is None:
             member = Member(known.name, known.place)
-            self.entry_by_name[known.name] = member
+            self._add(member)
         elif (known.revision, state) <= (member.revision, member.state):
             return
         member.place = known.place
@@ -207,6 +210,10 @@
         age_s = known.heard_age_ms / 1000.0 if state is EntryState.SUSPECT else 0.0
         self._set_state(member, state, known.revision, now_s - age_s, now_s)
 
+    def _add(self, member):
+        self.entry_by_name[member.name] = member
+        self.known_version += 1
+
     def _refute(self, revision, state, now_s):
         own_state = EntryState.LEFT if self.own.leaving else EntryState.ALIVE
         if (revision, state) > (self.own.revision, own_state):
@@ -279,6 +286,7 @@
                 break
             del self._silent[name]
             del self.entry_by_name[name]
+            self.known_version += 1
 
     def others(self, count, now_s, excluded=""):
         """Return a random few of the other live entries."""
--- a/figfold/core/traffic/limiters.py
+++ b/figfold/core/traffic/limiters.py
@@ -36,6 +36,7 @@
     def count_request(self, now_s):
         """Count a request of the service."""
         self._request_times_s.append(now_s)
+        _drop_older(self._request_times_s, now_s - self.window_s)
 
     def try_acquire(self, entry_count, now_s):
         """Spend one retry from the budget; return whether the budget allowed it."""
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -62,6 +62,10 @@
     _live_places: list = Factory(list)
     _live_regions: list = Factory(list)
     _place_by_live_entry: dict = Factory(dict)
+    _places_of_sharing: list | None = None
+    _sharing_count_by_place: dict = Factory(dict)
+    _counted_version: tuple = ()
+    _entry_count: int = 1
 
     @classmethod
     def from_config(cls, settings, log, on_configuration):
@@ -152,14 +156,18 @@
         self.fleet.assume_cold(server_id, now + RESTART_REPORT_DELAY_S)
 
     def _sharing_entry_count(self, server):
+        live_places = self.live_entry_places()
+        if live_places is not self._places_of_sharing:
+            self._places_of_sharing = live_places
+            self._sharing_count_by_place.clear()
         place = server.record.place
-        places = places_sharing_cold_server(
-            place,
-            self.region_by_place.get(place, ""),
-            self.live_entry_places(),
-            self.region_by_place,
-        )
-        return len(places) if self.place in places else 0
+        count = self._sharing_count_by_place.get(place)
+        if count is None:
+            region = self.region_by_place.get(place, "")
+            places = places_sharing_cold_server(place, region, live_places, self.region_by_place)
+            count = len(places) if self.place in places else 0
+            self._sharing_count_by_place[place] = count
+        return count
 
     def regions_with_free_slots(self, service):
         """Return the regions of which all recent reports state enough free slots for overflow."""
@@ -201,7 +209,11 @@
 
     def entry_count(self):
         """Return the number of entries that may spend from a shared budget."""
-        return len(self.registered_entries.union(self.membership.entry_by_name, (self.name,)))
+        version = (self.membership.known_version, len(self.registered_entries))
+        if version != self._counted_version:
+            names = self.registered_entries.union(self.membership.entry_by_name, (self.name,))
+            self._counted_version, self._entry_count = version, len(names)
+        return self._entry_count
 
     def _is_own_region(self, place):
         return self.region_by_place.get(place) == self.region_by_place.get(self.place)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -67,6 +67,8 @@
 FORGET_ENTRY_S = 120.0
 MAX_LOGGED_CAUSES = 100  # Causes of failed peer messages that are logged once each.
 MAX_CAUSE_CHARS = 400
+# Between two estimates of the region's free slots, which look at all of its servers.
+LOADS_INTERVAL_S = 1.0
 # Settings that an entry writes to its row in the store.
 REGISTERED_SETTINGS = ("place", "peer_address", "metrics_address")
 # Settings that need a restart to change.
@@ -114,6 +116,8 @@
     stage: str = "serving"
     _listeners: list = field(factory=list)
     _caller_listener: StoppableListener = None
+    _loads_at_s: float = float("-inf")
+    _last_loads: tuple = ()
     _logged_causes: set = field(factory=set)
 
     @classmethod
@@ -433,13 +437,17 @@
     def _loads(self, now):
         """Return the free slots of this region by service, for overflow from other regions."""
         configuration = self.cluster.configuration
+        if now - self._loads_at_s < LOADS_INTERVAL_S:
+            return self._last_loads
         names = configuration.service_by_name if configuration else ()
         services = sorted(name for name in names if is_name(name))
         selector = self.request_runner.selector
-        return tuple(
+        self._loads_at_s = now
+        self._last_loads = tuple(
             ServiceLoad(name, 0, 0, int(selector.free_slots(name, self.settings.region, now)))
             for name in services
         )
+        return self._last_loads
 
     def _may_overlap(self, host, path):
         # While the entry stops, each answer ends its connection.
--- a/test/test_traffic_rules.py
+++ b/test/test_traffic_rules.py
@@ -291,6 +291,15 @@
         self.assertEqual(list(splitter._count_by_service_by_route), ["kept"])
 
 
+class RequestCountTest(unittest.TestCase):
+    # Without a retry the times of all requests since the start were kept.
+    def test_times_of_old_requests_are_dropped_without_a_retry(self):
+        budget = RetryBudget(window_s=10.0, ratio=0.2, slack=60.0)
+        for number in range(1000):
+            budget.count_request(number * 0.1)
+        self.assertLessEqual(len(budget._request_times_s), 101)
+
+
 class SyncSourceTest(unittest.TestCase):
     PLACES = {"e1": "a1", "e2": "a2", "e3": "a1", "f1": "b1"}
 
