--- a/test/test_odd_rows.py
+++ b/test/test_odd_rows.py
@@ -7,6 +7,7 @@
 import unittest
 from types import SimpleNamespace
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from loguru import logger
@@ -70,7 +71,13 @@
     return copied
 
 
-SERVER_VALUES = st.builds(changed, st.just(SERVER), st.sampled_from(_paths(SERVER)), VALUES)
+# Values that some field or other accepts.
+PLAUSIBLE = st.sampled_from(
+    (0, 1, 3, 0.5, 65535, 2**63 - 1, "ready", "draining", "stock", "10.0.0.1:80", "[::1]:80")
+)
+SERVER_VALUES = st.builds(
+    changed, st.just(SERVER), st.sampled_from(_paths(SERVER)), PLAUSIBLE | VALUES
+)
 CONFIGURATION_VALUES = st.builds(
     changed, st.just(CONFIGURATION), st.sampled_from(_paths(CONFIGURATION)), VALUES
 )
@@ -100,7 +107,21 @@
         read = decode_server(server_id, value, None, 1)
         if read.is_ok():
             # The software version stays with the entry that reads the store.
-            self.assert_usable(decode_server(server_id, value | {"info": _plain(value)}).ok())
+            self.assert_usable(evolve(read.ok(), software_version=""))
+
+    def test_row_whose_fields_are_at_their_bounds_is_used(self):
+        for path, value in (
+            (("address",), "[2001:db8::1]:65535"),
+            (("address",), "10.0.0.1:00080"),
+            (("born",), 2**63 - 1),
+            (("info", "slots"), 65535),
+            (("info", "zone"), "z" * 128),
+            (("status", "coldRemainingS"), 1e9),
+            (("status", "sequence"), 0),
+        ):
+            with self.subTest(path=path):
+                read = decode_server("i-1", changed(SERVER, path, value))
+                self.assert_usable(evolve(read.unwrap(), software_version=""))
 
     def test_rows_of_the_reports_are_refused(self):
         for path, value in (
@@ -274,10 +295,6 @@
         self.assertEqual([one.id for one in update.missing], ["s0"])
 
 
-def _plain(value):
-    return value["info"] | {"version": "v"}
-
-
 def _dump(value):
     try:
         return json.dumps(value).encode()
