--- a/bench/capacity_gateway.py
+++ b/bench/capacity_gateway.py
@@ -1,17 +1,19 @@
 """Slopes of the gateway: server selection, look-ups and knowledge of the servers."""
 
-from types import SimpleNamespace
+from random import Random
 
 from bench.capacity_fit import Slope, cost_us
-from bench.capacity_samples import REGIONS, SLOTS, make_membership, make_topology
+from bench.capacity_samples import REGIONS, SLOTS, make_reports, make_topology
 from bench.capacity_state import memory_of
+from figfold.core.entries import MembershipSettings
+from figfold.core.members import Members
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.fleet import Fleet, ServerRecord
 from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import SelectionRequest, Selector
 from figfold.core.traffic.server_limits import ServerLimits
 from figfold.entry.clock import now_s
-from figfold.gateway.process import GatewayProcess
+from figfold.gateway.cluster_view import ClusterView
 from figfold.wire.codec import decode, encode
 from figfold.wire.messages import KnowledgeReply
 
@@ -73,14 +75,17 @@
     points = []
     for count in ENTRY_COUNTS:
         topology = make_topology(max(1, count // 4))
-        membership = make_membership(topology, count, now_s())
         regions = {name: place.region for name, place in topology.place_by_name.items()}
-        process = SimpleNamespace(
-            cluster=SimpleNamespace(membership=membership),
-            settings=SimpleNamespace(region_by_place=regions),
+        reports = make_reports(topology, count)
+        cluster = ClusterView(
+            reports[0].name, reports[0].place, regions, None, Fleet(), lambda _version: None
         )
+        members = Members.from_config(MembershipSettings(), reports[0], Random(1).sample)
+        for report in reports[1:]:
+            members.record_report(report, now_s())
+        cluster.membership = members
         place = next(iter(regions))
-        cost = cost_us(CALLS, GatewayProcess.look_up, process, place, regions[place])
+        cost = cost_us(CALLS, cluster.entry_addresses, place, regions[place])
         points.append((count, cost))
     return Slope.from_points("look-up of entries", "us", "entries", points)
 
--- a/bench/capacity_samples.py
+++ b/bench/capacity_samples.py
@@ -109,12 +109,17 @@
     )
 
 
-def make_membership(topology, entries, now_s, services=SERVICES):
-    """Return the membership of an entry that has just received the reports of all others."""
-    reports = [
+def make_reports(topology, entries, services=SERVICES):
+    """Return a report of each entry."""
+    return [
         make_report(name, place, number, services)
         for number, (name, place) in enumerate(entry_names(topology, entries).items())
     ]
+
+
+def make_membership(topology, entries, now_s, services=SERVICES):
+    """Return the membership of an entry that has just received the reports of all others."""
+    reports = make_reports(topology, entries, services)
     membership = Membership.from_config(MembershipSettings(fanout=FANOUT), reports[0])
     for report in reports[1:]:
         membership.record_report(report, now_s, now_s)
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -59,6 +59,8 @@
     _round_trip_s_by_place: dict = Factory(dict)
     _live: dict | None = None
     _live_of_names: dict | None = None
+    _live_of_addresses: dict | None = None
+    _addresses_near: dict = Factory(dict)
     _live_places: list = Factory(list)
     _live_regions: list = Factory(list)
     _place_by_live_entry: dict = Factory(dict)
@@ -199,6 +201,20 @@
         self.live_entry_places()
         return self._live_regions
 
+    def entry_addresses(self, place, region):
+        """Return the addresses of live entries in the place, else in the region, else anywhere."""
+        live = self.membership.live_entries(now_s())
+        if live is not self._live_of_addresses:
+            self._live_of_addresses = live
+            self._addresses_near = {}
+            for entry in live.values():
+                if entry.address:
+                    own_region = self.region_by_place.get(entry.place)
+                    for area in (("place", entry.place), ("region", own_region), None):
+                        self._addresses_near.setdefault(area, []).append(entry.address)
+        near = self._addresses_near
+        return near.get(("place", place)) or near.get(("region", region)) or near.get(None, [])
+
     def place_by_live_entry(self):
         """Return the places of the live entries by name, this one included unless it leaves."""
         live = self.membership.live_entries(now_s())
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -347,15 +347,7 @@
 
     def look_up(self, place, region):
         """Return the addresses of live entries in the place, else in the region, else anywhere."""
-        live = self.cluster.membership.live_entries(now_s())
-        entries = [(entry.place, entry.address) for entry in live.values() if entry.address]
-        regions = self.settings.region_by_place
-        near = [address for entry_place, address in entries if entry_place == place]
-        if not near:
-            near = [
-                address for entry_place, address in entries if regions.get(entry_place) == region
-            ]
-        return near or [address for _, address in entries]
+        return self.cluster.entry_addresses(place, region)
 
     def _serve(self, address, app, protocol):
         host, port = address.rsplit(":", 1)
--- a/test/test_entry_prober.py
+++ b/test/test_entry_prober.py
@@ -10,6 +10,7 @@
 from figfold.core.entries import KnownEntry, MembershipSettings
 from figfold.core.members import EntryState, Members
 from figfold.core.model import EntryReport
+from figfold.gateway.cluster_view import ClusterView
 from test.virtual import run_virtual
 from test.virtual_gateway import VirtualFleet
 
@@ -141,6 +142,38 @@
         self.assertEqual(self.members.entry_by_name, {})
 
 
+class LookUpTest(unittest.TestCase):
+    def make_cluster(self):
+        members = make_members()
+        regions = {"a1": "a", "a2": "a", "b1": "b"}
+        cluster = ClusterView("e1", "a1", regions, None, None, lambda _version: None)
+        cluster.membership = members
+        return cluster
+
+    def test_entries_of_the_place_then_of_the_region_then_all(self):
+        cluster = self.make_cluster()
+        others = [
+            KnownEntry(f"x{n}", place, 0, 0, "", f"10.0.1.{n}:1", EntryState.ALIVE, 1)
+            for n, place in ((1, "a2"), (2, "b1"))
+        ]
+        cluster.membership.add_known_entries(others, 0.0)
+        for place, region, expected in (
+            ("a1", "a", ["10.0.0.1:1"]),
+            ("a2", "a", ["10.0.1.1:1"]),
+            ("a9", "a", ["10.0.0.1:1", "10.0.1.1:1"]),
+            ("c1", "c", ["10.0.0.1:1", "10.0.1.1:1", "10.0.1.2:1"]),
+        ):
+            self.assertEqual(cluster.entry_addresses(place, region), expected)
+        cluster.membership.add_known_entries([evolve(others[0], state=EntryState.DEAD)], 0.0)
+        self.assertEqual(cluster.entry_addresses("a2", "a"), ["10.0.0.1:1"])
+
+    # Each look-up passed over all entries, twice without one in the caller's data centre.
+    def test_entries_are_listed_once_for_each_change_of_them(self):
+        cluster = self.make_cluster()
+        first = cluster.entry_addresses("a1", "a")
+        self.assertIs(cluster.entry_addresses("a1", "a"), first)
+
+
 class FleetRun:
     """Entries in virtual time, and what each takes for live."""
 
