--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -16,7 +16,10 @@
 PEER_TIMEOUT_S = 0.9
 SOURCE_POLL_S = 0.2  # Between two checks of whether this entry reads the store for its region.
 ERROR_PAUSE_S = 0.4
-SNAPSHOT_INTERVAL_S = 4.0  # A snapshot of 40 servers has about 3 KB.
+# Between two snapshots of all servers: the shortest time, and the time for each server, so that
+# their cost a second is bounded.
+SNAPSHOT_INTERVAL_S = 4.0
+SNAPSHOT_S_PER_SERVER = 0.04
 # The operator's rows count as current until they are older than the long poll for their next
 # change by more than this.
 OPERATOR_SLACK_S = 1.5
@@ -197,7 +200,9 @@
         entry = self.cluster.membership.entry_by_name.get(name)
         if entry is None:
             return False
-        if now_s() - self._last_snapshot_s >= SNAPSHOT_INTERVAL_S:
+        servers = len(self.cluster.fleet.server_by_id)
+        interval_s = max(SNAPSHOT_INTERVAL_S, SNAPSHOT_S_PER_SERVER * servers)
+        if now_s() - self._last_snapshot_s >= interval_s:
             # A regular snapshot corrects whatever an update has missed or got wrong.
             self._generation_by_source.pop(name, None)
             self._last_snapshot_s = now_s()
--- a/test/test_gateway_knowledge.py
+++ b/test/test_gateway_knowledge.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from loguru import logger
+from result import Ok
 
 from figfold.core.traffic.configuration import Configuration
 from figfold.core.traffic.fleet import Fleet, FleetUpdate
@@ -125,6 +126,44 @@
         self.assertFalse(self.apply("e1", {"s0": 1}, 0.1, store_version=1, operator_age_s=5.0))
 
 
+class SnapshotTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 100.0
+        use_clock(monotonic=lambda: self.now_s)
+        self.addCleanup(use_clock)
+
+    def count_snapshots(self, servers, seconds):
+        """Return how many snapshots an entry asks for that knows so many servers."""
+        cluster = ClusterView("e2", "a1", {"a1": "a"}, logger, Fleet(), lambda _version: None)
+        peer = SimpleNamespace(reach_peer_address="10.0.0.1:1")
+        cluster.membership = SimpleNamespace(entry_by_name={"e1": peer})
+        records = tuple(make_record(f"s{one}") for one in range(servers))
+        cluster.fleet.apply_snapshot(records, self.now_s, False, 1)
+        generations = []
+
+        def call(_address, request, _timeout_s):
+            generations.append(request.generation)
+            update = FleetUpdate(5, False, (), (), frozenset(), 1)
+            return Ok(KnowledgeReply(b"", update, 1, 0.1, 0.0))
+
+        store_reader = StoreReader(None, cluster, None, Metrics(), logger, None, None)
+        settings = SimpleNamespace(configuration_wait_s=3.0)
+        client = SimpleNamespace(call=call)
+        store_sync = StoreSync(settings, cluster, store_reader, client, Metrics(), logger, 1, None)
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            store_sync._ask_peer("e1")
+            self.now_s += 0.5
+        return generations.count(0)
+
+    # All servers were asked for every 4 s: with 720 servers some 26 ms for both ends, each time.
+    def test_servers_that_snapshots_name_a_second_do_not_grow_with_the_fleet(self):
+        for servers in (20, 100, 800):
+            snapshots = self.count_snapshots(servers, 100.0)
+            self.assertGreater(snapshots, 2, servers)
+            self.assertLess(snapshots * servers / 100.0, 35.0, servers)
+
+
 class LargeReplyTest(unittest.TestCase):
     # A configuration that fitted by itself made the reply too large together with many servers, so
     # that neither arrived.
