Keep the source of rows while it is live and near the one in turn

Cause: each entry that started or ended shifted the sources of an eighth of those behind it, which then asked their new sources for all servers. Regions of up to nine entries are as they were.

--- a/figfold/core/traffic/sync_source.py
+++ b/figfold/core/traffic/sync_source.py
@@ -29,6 +29,7 @@
     _backoff_until_s: dict = Factory(dict)
     _live: dict | None = None
     _region_names: list = Factory(list)
+    _source: str = ""
 
     def choose(self, place_by_live_entry, now_s):
         """Return the name of the entry to ask, or this entry's own name to read the store.
@@ -45,7 +46,25 @@
         if skipped:
             names = [one for one in names[:position] if one not in skipped]
             position = len(names)
-        return names[(position - 1) // MAX_LISTENERS] if position else self.name
+        self._source = self._kept_source(names, position) or (
+            names[(position - 1) // MAX_LISTENERS] if position else self.name
+        )
+        return self._source
+
+    def _kept_source(self, names, position):
+        """Return the source so far, unless it is no longer live or too far from the one in turn.
+
+        A new source has to be asked for all servers, and each entry that starts or ends shifts the
+        ones behind it. The first entries always ask the one that reads the store.
+        """
+        if position <= MAX_LISTENERS:
+            return ""
+        index = bisect_left(names, self._source, 0, position)
+        if index >= position or names[index] != self._source:
+            return ""
+        first = index * MAX_LISTENERS + 1
+        is_near = first - MAX_LISTENERS <= position < first + 2 * MAX_LISTENERS
+        return self._source if is_near else ""
 
     def has_levels(self, place_by_live_entry):
         """Return whether rows pass through several entries of the region."""
--- a/test/test_traffic_rules.py
+++ b/test/test_traffic_rules.py
@@ -336,6 +336,28 @@
                 self.assertLessEqual(max(map(self.depth(source_by_name), places)), 3, count)
                 self.assertLessEqual(set(skipped) & set(listeners), set())
 
+    # Each entry that ended or started shifted the sources of an eighth of those behind it, which
+    # then asked their new sources for all servers.
+    def test_few_sources_change_when_single_entries_end_and_start(self):
+        names = [f"e{number:03}" for number in range(70)]
+        selectors = {name: self.selector(name, "a") for name in names}
+        places = dict.fromkeys(names, "a1")
+        before = {name: selectors[name].choose(places, 0.0) for name in names}
+        changes = 0
+        for step, restarted in enumerate(names):
+            for live in ([one for one in names if one != restarted], names):
+                places = dict.fromkeys(live, "a1")
+                after = {name: selectors[name].choose(places, float(step)) for name in live}
+                changes += sum(
+                    after[name] != before[name] and before[name] in live
+                    for name in live
+                    if name in before
+                )
+                before = after
+                self.assertLessEqual(max(Counter(after.values()).values()), 3 * MAX_LISTENERS)
+                self.assertTrue(all(source <= name for name, source in after.items()))
+        self.assertLess(changes, len(names))
+
     def depth(self, source_by_name):
         def depth_of(name):
             steps = 0
