--- a/figfold/gateway/entry_prober.py
+++ b/figfold/gateway/entry_prober.py
@@ -1,7 +1,7 @@
 """Probes of the other entries, and news of them, with a bounded number of messages per second."""
 
 import eventlet
-from attrs import define, field
+from attrs import define
 
 from figfold.core.codes import Code
 from figfold.entry.clock import now_s
@@ -45,7 +45,7 @@
     _pushed_at_s: float = float("-inf")
     _push_is_pending: bool = False
     _has_synced: bool = False
-    _syncing: set = field(factory=set)
+    _is_syncing: bool = False
 
     # Rounds.
 
@@ -81,8 +81,10 @@
     def after_merge(self, report):
         """Pass on what was new in a report, and read the sender's view if it differs."""
         self._schedule_push()
+        if self._is_syncing or not report.peer_address:
+            return
         if not self._has_synced or self.members.should_sync(report, now_s()):
-            self._has_synced = True
+            self._is_syncing = True
             eventlet.spawn_n(self._sync, report.peer_address)
 
     def announce(self, entries=()):
@@ -113,16 +115,14 @@
     # Whole views.
 
     def _sync(self, address):
-        if not address or address in self._syncing:
-            return
-        self._syncing.add(address)
         try:
             reply = self.gossip.client.call(address, MembersRequest(), SYNC_TIMEOUT_S)
         finally:
-            self._syncing.discard(address)
+            self._is_syncing = False
         if reply.is_err() or not isinstance(reply.ok(), MembersReply):
-            self._has_synced = self.members.live_version > 0 and self._has_synced
+            # The next report leads to another try.
             return
+        self._has_synced = True
         self.metrics.count("member_syncs")
         self.members.add_known_entries(reply.ok().entries, now_s())
         self._schedule_push()
