Name entries that have moved at their new address, and test the signal once the program runs

Cause: the lists for look-ups are made at a change of the live entries, and a new address of a live one did not count as such. The test of a SIGHUP at the start sent it 0.1 s after the start, which is before the program's first line on a busy machine (failed once, in a run of all tests beside load); it now waits for that line, and was seen to fail without the change that it tests.

--- a/figfold/core/members.py
+++ b/figfold/core/members.py
@@ -54,8 +54,6 @@
         Number that the entry raises to refute a statement about it, and at each start.
     since_s : float
         When the state was set, or when the suspicion was raised elsewhere.
-    heard_at : float or None
-        When the latest report of the entry itself arrived.
     """
 
     name: str
@@ -65,7 +63,6 @@
     state: EntryState = EntryState.DEAD
     revision: int = 0
     since_s: float = 0.0
-    heard_at: float | None = None
     load_by_service: dict[str, ServiceLoad] = Factory(dict)
 
     @property
@@ -145,28 +142,17 @@
                 self._add(member)
                 self._silent[one.name] = now_s
 
-    def record_report(self, report, now_s, request_sent_at_s=None):
+    def record_report(self, report, now_s, _request_sent_at_s=None):
         """Update an entry from a report that it sent itself; return whether it was accepted."""
         if report.name == self.own.name:
             return False
         state = EntryState.LEFT if report.leaving else EntryState.ALIVE
         # Entries of earlier versions state no revision.
         revision = report.revision or report.incarnation
-        known = KnownEntry(
-            report.name,
-            report.place,
-            report.incarnation,
-            0,
-            report.peer_address,
-            report.address,
-            state,
-            revision,
-        )
-        self._merge(known, now_s)
+        self._merge(_statement_of(report, state, revision), now_s)
         member = self.entry_by_name[report.name]
         if revision < member.revision:
             return False
-        member.heard_at = now_s if request_sent_at_s is None else request_sent_at_s
         member.load_by_service = {load.service: load for load in report.loads}
         self._reported.pop(report.name, None)
         self._reported[report.name] = now_s
@@ -204,11 +190,14 @@
             self._add(member)
         elif (known.revision, state) <= (member.revision, member.state):
             return
+        before = (member.place, member.address)
         member.place = known.place
         member.peer_address = known.peer_address or member.peer_address
         member.address = known.address or member.address
         age_s = known.heard_age_ms / 1000.0 if state is EntryState.SUSPECT else 0.0
         self._set_state(member, state, known.revision, now_s - age_s, now_s)
+        if (member.place, member.address) != before:
+            self.live_version += 1
 
     def _add(self, member):
         self.entry_by_name[member.name] = member
@@ -223,7 +212,7 @@
     def _set_state(self, member, state, revision, since_s, now_s):
         if member.is_live:
             self.digest ^= _hash_of(member.name, member.revision)
-        was_live, was_address = member.is_live, member.address
+        was_live = member.is_live
         member.state, member.revision, member.since_s = state, revision, since_s
         if member.is_live:
             self.digest ^= _hash_of(member.name, revision)
@@ -235,7 +224,7 @@
             self._silent[member.name] = now_s
         if not was_live and member.is_live:
             self._probe_order.append(member.name)
-        if was_live != member.is_live or was_address != member.address or self._live is None:
+        if was_live != member.is_live:
             self.live_version += 1
         self._add_news(member.name, now_s)
 
@@ -330,18 +319,8 @@
     def statement(self, name, now_s):
         """Return what is known of an entry, to be told to others; None if it is not known."""
         if name == self.own.name:
-            own = self.own
-            state = EntryState.LEFT if own.leaving else EntryState.ALIVE
-            return KnownEntry(
-                own.name,
-                own.place,
-                own.incarnation,
-                0,
-                own.peer_address,
-                own.address,
-                state,
-                own.revision,
-            )
+            state = EntryState.LEFT if self.own.leaving else EntryState.ALIVE
+            return _statement_of(self.own, state, self.own.revision)
         member = self.entry_by_name.get(name)
         if member is None or not member.revision:
             return None
@@ -438,6 +417,20 @@
             del self._reported[name]
 
 
+def _statement_of(report, state, revision):
+    """Return what a report states of its sender."""
+    return KnownEntry(
+        report.name,
+        report.place,
+        report.incarnation,
+        0,
+        report.peer_address,
+        report.address,
+        state,
+        revision,
+    )
+
+
 def _take_distinct(members, count):
     taken = []
     for _ in range(count):
--- a/test/test_entry_prober.py
+++ b/test/test_entry_prober.py
@@ -167,6 +167,13 @@
         cluster.membership.add_known_entries([evolve(others[0], state=EntryState.DEAD)], 0.0)
         self.assertEqual(cluster.entry_addresses("a2", "a"), ["10.0.0.1:1"])
 
+    def test_entry_that_has_moved_is_named_at_its_new_address(self):
+        cluster = self.make_cluster()
+        for revision, address in ((1, "10.0.1.1:1"), (2, "10.0.2.2:1")):
+            moved = KnownEntry("x1", "a2", 0, 0, "", address, EntryState.ALIVE, revision)
+            cluster.membership.add_known_entries([moved], 0.0)
+            self.assertEqual(cluster.entry_addresses("a2", "a"), [address])
+
     # Each look-up passed over all entries, twice without one in the caller's data centre.
     def test_entries_are_listed_once_for_each_change_of_them(self):
         cluster = self.make_cluster()
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -442,8 +442,11 @@
     # Before its handlers were set, the signal ended the process.
     def test_hang_up_at_the_start_does_not_end_the_process(self):
         entry = self.deployment.start_entry_process("entry-1", "bne-north")
+        status = Path(f"/proc/{entry.child.pid}/status")
         # The interpreter itself takes some time until it runs the first line of the program.
-        eventlet.sleep(0.1)
+        while not (ignored := has_signal(status, "SigIgn")) and not has_signal(status, "SigCgt"):
+            eventlet.sleep(0.001)
+        self.assertTrue(ignored)
         for _ in range(40):
             entry.hang_up()
             eventlet.sleep(0.02)
@@ -476,5 +479,12 @@
         self.assertIn("E106", ended.stderr)
 
 
+def has_signal(status, name):
+    """Return whether a set of signals of a process, such as the ignored ones, has SIGHUP."""
+    lines = status.read_text(encoding="utf-8").splitlines()
+    mask = next(line.split()[1] for line in lines if line.startswith(name))
+    return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+
+
 if __name__ == "__main__":
     unittest.main()
