--- a/figfold/core/members.py
+++ b/figfold/core/members.py
@@ -9,12 +9,12 @@
 from collections import deque
 from enum import IntEnum
 from hashlib import blake2b
-from itertools import chain, islice
 
 from attrs import Factory, define, evolve
 
 from figfold.core.entries import KnownEntry, MembershipSettings
 from figfold.core.model import EntryReport, ServiceLoad
+from figfold.core.news import News
 
 # Most entries of which one message tells news.
 NEWS_LIMIT = 32
@@ -107,9 +107,7 @@
     changed_at_s: float = float("-inf")
     digest: int = 0
     changes: int = 0
-    # News by the number of reports that have carried them, and that number by name.
-    _news_by_repeats: list[dict] = Factory(list)
-    _repeats_by_name: dict[str, int] = Factory(dict)
+    _news: News = Factory(News)
     _probe_order: deque = Factory(deque)
     _silent_order: deque = Factory(deque)
     _suspects: dict[str, None] = Factory(dict)
@@ -289,31 +287,12 @@
     def _add_news(self, name, now_s):
         self.changed_at_s = now_s
         self.changes += 1
-        self._move_news(name, 0)
-
-    def _move_news(self, name, repeats):
-        before = self._repeats_by_name.pop(name, None)
-        if before is not None:
-            del self._news_by_repeats[before][name]
-        if repeats is not None:
-            while len(self._news_by_repeats) <= repeats:
-                self._news_by_repeats.append({})
-            self._news_by_repeats[repeats][name] = None
-            self._repeats_by_name[name] = repeats
+        self._news.add(name)
 
     def known_entries(self, now_s, limit=NEWS_LIMIT):
-        """Return the news for one message, those first that were told least often.
-
-        Returns
-        -------
-        tuple[KnownEntry, ...]
-        """
+        """Return the news for one message, as a tuple of `KnownEntry`."""
         most = NEWS_REPEATS * max(1, len(self.entry_by_name).bit_length())
-        by_repeats = chain.from_iterable(self._news_by_repeats)
-        names = list(islice(by_repeats, limit)) if self._repeats_by_name else []
-        for name in names:
-            repeats = self._repeats_by_name[name] + 1
-            self._move_news(name, repeats if repeats < most else None)
+        names = self._news.take(limit, most)
         return tuple(one for one in (self.statement(name, now_s) for name in names) if one)
 
     def statement(self, name, now_s):
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -36,6 +36,7 @@
 from figfold.gateway.protocol import make_gateway_protocol
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
+from figfold.gateway.stopping import POLL_S, finish_requests
 from figfold.gateway.store_reader import StoreReader
 from figfold.gateway.store_sync import StoreSync
 from figfold.platform.headers import names_its_request, server_headers
@@ -56,11 +57,6 @@
 SERVE_FRACTION = 0.5
 ANSWER_FRACTION = 0.93
 FINISH_FRACTION = 0.98
-STOP_POLL_S = 0.02
-# Time without a request after which a stopping entry accepts no more.
-QUIET_S = 0.3
-# Time for the heads of the last requests to be read.
-LAST_HEADS_S = 0.1
 REGISTER_RETRY_S = 1.0
 CONFIRMATION_TTL_S = 4.0
 # Time after which an entry that is dead or has left is forgotten.
@@ -301,28 +297,17 @@
         self.prober.announce()
         self.request_runner.answer_until(began + ANSWER_FRACTION * grace_s)
         while now_s() < began + SERVE_FRACTION * grace_s:
-            eventlet.sleep(STOP_POLL_S)
+            eventlet.sleep(POLL_S)
         self.stage = "closed"
-        self._finish_requests(began + ANSWER_FRACTION * grace_s, began + FINISH_FRACTION * grace_s)
+        finish_requests(
+            self.app,
+            self._caller_listener,
+            began + ANSWER_FRACTION * grace_s,
+            began + FINISH_FRACTION * grace_s,
+        )
         self.log.bind(in_progress=self.app.in_progress).info("stopped")
         self.event_log.flush()
 
-    def _finish_requests(self, accept_until_s, until_s):
-        """Wait until all requests that were accepted have been answered.
-
-        A request that was just accepted is not in progress until its head has been read. New ones
-        are accepted until none has come for a while, or until ``accept_until_s``.
-        """
-        started, quiet_since_s = self.app.started, now_s()
-        while now_s() < min(accept_until_s, quiet_since_s + QUIET_S):
-            if self.app.in_progress or self.app.started != started:
-                started, quiet_since_s = self.app.started, now_s()
-            eventlet.sleep(STOP_POLL_S)
-        self._caller_listener.stop()
-        stopped_s = now_s()
-        while now_s() < until_s and (self.app.in_progress or now_s() < stopped_s + LAST_HEADS_S):
-            eventlet.sleep(STOP_POLL_S)
-
     def reload(self, settings):
         """Put all settings in force, or none; return the changed ones that need a restart.
 
--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -19,6 +19,7 @@
 from attrs import Factory, define, field
 from eventlet.green.http import client as green_client
 
+from bench.platform_demo import send_ahead
 from bench.platform_deployment import HOST, PlatformDeployment, ServiceServers, make_configuration
 
 REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
@@ -62,9 +63,13 @@
     {"status": {"state": "ready", "sequence": 1, "coldRemainingS": 10**400}},
     {"status": {"state": "elsewhere", "sequence": 1, "coldRemainingS": 0}},
 )
+# One of so many callers sends several reads before the first is answered.
+AHEAD_CALLERS = 4
+AHEAD_READS = 3
 # Results of a call without a status.
 CLOSED = 0
 TIMED_OUT = -1
+ANSWER_OPEN = -2
 REFUSALS = frozenset({408, 421, 429, 503})
 
 
@@ -347,6 +352,10 @@
     def _call_repeatedly(self, number):
         sent, connection, entry = 0, None, None
         while time.monotonic() < self._ends_s:
+            if number % AHEAD_CALLERS == 0:
+                sent += 1
+                self._call_ahead(f"a{number}-{sent}")
+                continue
             if connection is None:
                 entry = self.random.choice(sorted(self.entry_by_name.values(), key=_name_of))
                 connection = green_client.HTTPConnection(
@@ -359,6 +368,27 @@
                 connection = None
             eventlet.sleep(PAUSE_S)
 
+    def _call_ahead(self, name):
+        """Send several reads on a new connection before the first is answered."""
+        entry = self.random.choice(sorted(self.entry_by_name.values(), key=_name_of))
+        ids = [f"{name}-{number}" for number in range(AHEAD_READS)]
+        try:
+            answered = send_ahead(entry, [(one, str(self.random.randrange(40))) for one in ids])
+        except eventlet.Timeout:
+            self.violations.append(f"{entry.name} did not answer {ids} in {CALL_TIMEOUT_S} s")
+            answered = [None] * AHEAD_READS
+        except OSError:
+            # The entry has ended, or its connections have.
+            answered = [None] * AHEAD_READS
+        eventlet.sleep(PAUSE_S)
+        # What was sent behind an answer that closes the connection may run and get no answer.
+        self.calls += [(one, entry, False, ANSWER_OPEN) for one in ids]
+        self.counts["no answer ahead"] += answered.count(None)
+        for request_id, named in zip(ids, answered, strict=True):
+            self.counts["answered ahead"] += named == request_id
+            if named not in (None, request_id) and not named.isdigit():
+                self.violations.append(f"{request_id} got the answer to {named}")
+
     def _call(self, connection, entry, request_id, is_booking):
         """Send one request; return whether the connection can be used for another one."""
         headers = {
