--- a/figfold/entry/peer_gossip.py
+++ b/figfold/entry/peer_gossip.py
@@ -46,6 +46,8 @@
         Called with each report of another entry after its merge.
     corrections : callable or None
         Returns the known entries that the reply to a report has to begin with.
+    crash_recipients : callable or None
+        Returns the entries to which a crash is announced, unless the membership decides it.
     """
 
     membership: Membership
@@ -65,6 +67,7 @@
     on_later_plan: Callable | None = None
     on_merged: Callable | None = None
     corrections: Callable | None = None
+    crash_recipients: Callable | None = None
     known_entries_limit: int = KNOWN_ENTRIES_LIMIT
     cached_report: Report | None = None
     cached_at_s: float = float("-inf")
@@ -107,7 +110,10 @@
 
     def _push_crash_report(self):
         self.crash_announcement_pending = False
-        self.send_report(crash_announcement_recipients(self.membership, self.random.sample))
+        if self.crash_recipients is not None:
+            self.send_report(self.crash_recipients())
+        else:
+            self.send_report(crash_announcement_recipients(self.membership, self.random.sample))
 
     def send_report(self, entries):
         """Exchange a report that is built now with each of the entries."""
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -8,6 +8,7 @@
 from eventlet import wsgi
 
 from figfold.core.confirmation import ConfirmationTracker
+from figfold.core.crash_announcements import MAX_RECIPIENTS
 from figfold.core.entries import MembershipSettings
 from figfold.core.members import NEWS_LIMIT, Members
 from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
@@ -191,6 +192,7 @@
         self.prober = EntryProber(self.peers, members, self.metrics, self.log)
         self.peers.on_merged = self.prober.after_merge
         self.peers.corrections = self.prober.corrections
+        self.peers.crash_recipients = lambda: members.others(MAX_RECIPIENTS, now_s())
         host, port = settings.peer_address.rsplit(":", 1)
         networks = tuple(ip_network(text) for text in settings.peers.allowed_networks)
         self.peer_server = PeerServer.from_config(
--- a/test/test_entry_prober.py
+++ b/test/test_entry_prober.py
@@ -7,6 +7,7 @@
 import eventlet
 from attrs import evolve
 
+from figfold.core.crash_announcements import MAX_RECIPIENTS
 from figfold.core.entries import KnownEntry, MembershipSettings
 from figfold.core.members import EntryState, Members
 from figfold.core.model import EntryReport
@@ -218,6 +219,24 @@
         return max(self.fleet.messages_by_entry.values()) / seconds
 
 
+class CrashTest(unittest.TestCase):
+    # The recipients were chosen from all entries, also those that had ended, and sorted each time.
+    def test_crash_is_announced_to_a_few_live_entries(self):
+        def test(hub):
+            run = FleetRun(hub, 4)
+            fleet = run.fleet
+            fleet.kill("b1-e0")
+            run.time_until_unknown(["b1-e0"])
+            for _ in range(20):
+                recipients = fleet.gateway_by_entry["a1-e0"].peers.crash_recipients()
+                names = [one.name for one in recipients]
+                self.assertLessEqual(len(names), MAX_RECIPIENTS)
+                self.assertGreater(len(names), MAX_RECIPIENTS // 2)
+                self.assertNotIn("b1-e0", names)
+
+        run_virtual(test)
+
+
 def play(entries_per_place):
     """Play all cases at one size; return the figures by case."""
     figures = {}
