End a connection on which a request sent ahead arrives too slowly, after the answers before it

Cause, found on a second reading: the part that had been read of it was lost, so that what followed was taken for the beginning of another request and run (the test failed before). It concerns only connections on which reads are sent ahead.

--- a/figfold/gateway/caller_connection.py
+++ b/figfold/gateway/caller_connection.py
@@ -167,6 +167,7 @@
     _callbacks: dict = Factory(dict)
     _thread: object = None
     _parsing: object = None
+    _is_unreadable: bool = False
 
     @classmethod
     def from_socket(cls, sock, read_request):
@@ -213,7 +214,9 @@
         """
         while self._parsing is not None:
             self._parsing.wait()
-        return self._ahead.popleft().answer(file) if self._ahead else None
+        if self._ahead:
+            return self._ahead.popleft().answer(file)
+        return True if self._is_unreadable else None
 
     def cancel_ahead(self):
         """Cancel the requests that were read ahead, since the connection ends before them."""
@@ -257,7 +260,7 @@
             on_disconnect()
 
     def _may_read_ahead(self):
-        if not self.may_overlap or len(self._ahead) + 1 >= MAX_OVERLAP:
+        if not self.may_overlap or self._is_unreadable or len(self._ahead) + 1 >= MAX_OVERLAP:
             return False
         return not self._ahead or self._ahead[-1].thread is not None
 
@@ -270,10 +273,16 @@
 
     def _read_ahead(self):
         self._parsing = Event()
+        # What follows a request that was read in part is not the beginning of another one.
+        self._is_unreadable = True
         try:
             request = self.read_request()
+            self._is_unreadable = False
             if request is not None:
                 self._ahead.append(request)
+        except OSError:
+            # It took too long to arrive. The requests before it still get their answers.
+            self.may_overlap = False
         finally:
             parsing, self._parsing = self._parsing, None
             parsing.send()
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -35,11 +35,12 @@
         self.most_running = 0
         self.body_bytes = 10
         self.rest_of = {}
+        self.limits = CallerLimits()
         metrics = Metrics()
         self.app = RequestApp(self.serve, lambda: self.stage, metrics, logger, CallerLimits)
         protocol = make_gateway_protocol(
             metrics,
-            CallerLimits,
+            lambda: self.limits,
             lambda _host, path: self.stage == "serving" and path.startswith("/read/"),
         )
         listener = eventlet.listen(("127.0.0.1", 0))
@@ -117,6 +118,16 @@
         self.assertEqual(ids, ["a"])
         self.assertLess(took_s, LONG_S)
 
+    # The rest of the incomplete request was read as the beginning of another one.
+    def test_request_that_arrives_too_slowly_ends_the_connection_after_the_answers_before_it(self):
+        self.limits = CallerLimits(header_timeout_s=0.1)
+        sock = self.connect()
+        sock.sendall(get("a", LONG_S) + b"GET /read/50 HTTP/1.1\r\nHost: h\r\n")
+        eventlet.sleep(LONG_S / 2)
+        sock.sendall(get("c", SHORT_S))
+        self.assertEqual(self.read_answers(sock, 3, 1.5)[0], ["a"])
+        self.assertEqual(self.started, ["a"])
+
     def test_request_that_may_run_once_overlaps_with_no_other(self):
         sock = self.connect()
         sock.sendall(get("a", LONG_S) + post("b", SHORT_S) + get("c", SHORT_S) + post("d", SHORT_S))
