Keep all parts of an answer that waits when its turn begins

Cause, found on a second reading: what a run added while the caller did not take the first parts was dropped; the test had failed so before. It concerns only reads that are sent ahead.

--- a/figfold/gateway/caller_connection.py
+++ b/figfold/gateway/caller_connection.py
@@ -65,7 +65,7 @@
         return not self.is_at_end
 
 
-class _WaitingAnswer:
+class WaitingAnswer:
     """Holds what is written of an answer until its turn on the connection."""
 
     def __init__(self):
@@ -105,10 +105,12 @@
 
     def begin_turn(self, file):
         """Write what is held, and from now on write at once."""
-        for part in self._parts:
-            file.write(part)
-        file.flush()
-        self._parts.clear()
+        while self._parts:
+            # More can be added while the caller does not take what is written.
+            parts, self._parts = self._parts, []
+            for part in parts:
+                file.write(part)
+            file.flush()
         self._file = file
         self._turn.send()
 
@@ -297,7 +299,7 @@
         None if the connection ended instead.
     """
     twin = copy.copy(protocol)
-    waiting = _WaitingAnswer()
+    waiting = WaitingAnswer()
     twin.wfile = twin.wrap_file(waiting)
     twin.ahead_request = AheadRequest(twin)
     twin.read_request()
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -17,7 +17,11 @@
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.entry.metrics import Metrics
 from figfold.gateway.apps import RequestApp
-from figfold.gateway.caller_connection import MAX_OVERLAP, MAX_WAITING_ANSWER_BYTES
+from figfold.gateway.caller_connection import (
+    MAX_OVERLAP,
+    MAX_WAITING_ANSWER_BYTES,
+    WaitingAnswer,
+)
 from figfold.gateway.protocol import make_gateway_protocol
 from figfold.gateway.requests import RequestFailure
 
@@ -222,6 +226,33 @@
         self.assertEqual(self.app.in_progress, 0)
 
 
+class SlowFile:
+    """A connection whose caller takes each part only after a while."""
+
+    def __init__(self):
+        self.data = b""
+
+    def write(self, data):
+        self.data += data
+
+    def flush(self):
+        eventlet.sleep(SHORT_S)
+
+
+class WaitingAnswerTest(unittest.TestCase):
+    # What was added while the caller did not take the first parts was dropped.
+    def test_parts_that_are_written_while_the_turn_begins_are_kept_in_order(self):
+        answer, file = WaitingAnswer(), SlowFile()
+        answer.write(b"a")
+        turn = eventlet.spawn(answer.begin_turn, file)
+        for part in (b"b", b"c", b"d", b"e"):
+            eventlet.sleep(SHORT_S / 2 + 0.005)
+            answer.write(part)
+        turn.wait()
+        answer.write(b"f")
+        self.assertEqual(file.data, b"abcdef")
+
+
 def get(request_id, duration_s, *headers):
     """Return the bytes of a request that may be repeated."""
     lines = [f"GET /read/{int(duration_s * 1000)} HTTP/1.1", "Host: h", f"Attempt-Id: {request_id}"]
