--- a/figfold/core/traffic/ranking.py
+++ b/figfold/core/traffic/ranking.py
@@ -182,12 +182,10 @@
         first = self._first(service, region, key)
         found = _take_allowed(first, by_id, is_allowed, count)
         if len(found) < count and len(by_id) > len(found):
-            every = sorted(
-                rendezvous_weights(
-                    service, key, self._region_servers[service, region].slots_by_id.items()
-                ),
-                reverse=True,
-            )
+            slots_by_id = self._region_servers[service, region].slots_by_id.items()
+            every = sorted(rendezvous_weights(service, key, slots_by_id), reverse=True)
+            # Those that were kept may have left.
+            self._rank_by_object[service, region, key].first = every[:KEPT_SERVERS]
             found = _take_allowed(every, by_id, is_allowed, count)
         return found
 
--- a/test/test_traffic_ranking.py
+++ b/test/test_traffic_ranking.py
@@ -7,10 +7,16 @@
 
 from attrs import evolve
 
+from figfold.core.traffic import ranking
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.fleet import Fleet, ServerRecord
 from figfold.core.traffic.placement import OVERFLOW_CANDIDATES, REGION_CANDIDATES, Placement
-from figfold.core.traffic.ranking import KEPT_SERVERS, MAX_OBJECTS, unit_hash
+from figfold.core.traffic.ranking import (
+    KEPT_SERVERS,
+    MAX_OBJECTS,
+    rendezvous_weights,
+    unit_hash,
+)
 from figfold.core.traffic.selection import SelectionRequest, Selector
 from figfold.core.traffic.server_limits import ServerLimits
 
@@ -183,6 +189,23 @@
                 selector.choose(request, RouteDurations(), 0.0, lambda _server: True)
         self.assertEqual(len(calls), 1)
 
+    # Once the servers that were kept for an object had left, each request ranked all servers.
+    def test_servers_are_ranked_once_after_the_kept_ones_have_left(self):
+        selector = make_selector([make_record(i, "a1") for i in range(60)])
+        request = SelectionRequest("svc", "k")
+
+        def choose():
+            selector.choose(request, RouteDurations(), 0.0, lambda _server: True)
+
+        choose()
+        (rank,) = selector.ranking._rank_by_object.values()
+        for version, (_, server_id) in enumerate(list(rank.first), start=2):
+            selector.fleet.apply_removal(server_id, 0.0, False, version)
+        with patch.object(ranking, "rendezvous_weights", wraps=rendezvous_weights) as ranked:
+            for _ in range(5):
+                choose()
+        self.assertEqual(ranked.call_count, 1)
+
     def test_objects_kept_are_bounded(self):
         selector = make_selector([make_record(i, "a1") for i in range(10)])
         for number in range(MAX_OBJECTS + 100):
