Tell news in fewer reports

Cause: after a start of all entries each report carried 32 news for 20 s with 60 entries, since each was told in twice the logarithm of their number of reports, each of which reaches several entries.

Times until a dead entry is known: as before (test_entry_prober).

--- a/figfold/core/members.py
+++ b/figfold/core/members.py
@@ -18,8 +18,10 @@
 
 # Most entries of which one message tells news.
 NEWS_LIMIT = 32
-# Reports that carry one piece of news: this times the logarithm of the number of entries.
-NEWS_REPEATS = 2
+# Reports that carry one piece of news: one more than this fraction of the binary logarithm of the
+# number of entries, two at least. Each report reaches several entries, and digests show what has
+# been missed.
+NEWS_REPEATS = 0.5
 # Fraction of the time without a message, after which an entry counts as dead, for which it is only
 # suspected. The rest is for the probes that have to fail before.
 SUSPICION_FRACTION = 0.5
@@ -291,7 +293,7 @@
 
     def known_entries(self, now_s, limit=NEWS_LIMIT):
         """Return the news for one message, as a tuple of `KnownEntry`."""
-        most = NEWS_REPEATS * max(1, len(self.entry_by_name).bit_length())
+        most = max(2, 1 + int(NEWS_REPEATS * len(self.entry_by_name).bit_length()))
         names = self._news.take(limit, most)
         return tuple(one for one in (self.statement(name, now_s) for name in names) if one)
 
--- a/test/test_entry_prober.py
+++ b/test/test_entry_prober.py
@@ -21,6 +21,8 @@
 DEAD_KNOWN_S = 7.0
 MESSAGES_PER_S = 10.0
 LEFT_KNOWN_S = 1.5
+# How often an entry may hear of the start of another one, on average.
+NEWS_OF_START = 20.0
 
 
 def make_members(name="e1", revision=100):
@@ -247,6 +249,10 @@
         fleet = run.fleet
         everyone = set(fleet.process_by_entry)
         figures["start"] = run.time_until(lambda view: view == everyone)
+        eventlet.sleep(6.0)
+        figures["news of the start, for each entry and other entry"] = fleet.news_told / (
+            len(everyone) * (len(everyone) - 1)
+        )
         figures["messages per s"] = run.messages_per_s(10.0)
         fleet.kill("b1-e0")
         figures["one killed"] = run.time_until_unknown(["b1-e0"])
@@ -292,6 +298,8 @@
         for case in ("one killed", "one killed, a tenth lost", "region lost"):
             self.assertLess(figures[case], DEAD_KNOWN_S, figures)
         self.assertLess(figures["one leaves"], LEFT_KNOWN_S, figures)
+        news = "news of the start, for each entry and other entry"
+        self.assertLess(figures[news], NEWS_OF_START, figures)
         self.assertLess(figures["one cut off and back"], 5.0, figures)
         self.assertEqual(figures["views without the slow one"], 0, figures)
 
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -17,7 +17,7 @@
 from figfold.platform.answers import Answer
 from figfold.platform.rows import RowStore
 from figfold.wire.codec import decode, encode, try_encode
-from figfold.wire.messages import KnowledgeRequest
+from figfold.wire.messages import KnowledgeRequest, Report
 from standins.rows import RowTables
 from test.virtual import VirtualHub
 
@@ -96,7 +96,10 @@
         received = decode(encode(message)).unwrap()
         if isinstance(message, KnowledgeRequest) and {self.entry, other} in fleet.slow_pairs:
             eventlet.sleep(SILENT_DELAY_S)
-        reply = try_encode(fleet.hub.run_as(process, gateway.peers.handle, received))
+        answer = fleet.hub.run_as(process, gateway.peers.handle, received)
+        for one in (message, answer):
+            fleet.news_told += len(one.known_entries) if isinstance(one, Report) else 0
+        reply = try_encode(answer)
         if reply.is_err():
             return reply
         if fleet.process_by_entry.get(other) != process:
@@ -123,6 +126,8 @@
         Fraction of the calls between entries that are lost.
     messages_by_entry : Counter
         Calls that an entry has made or received, but for those about the store's rows.
+    news_told : int
+        Entries that reports have named, besides their senders.
     row_requests_by_entry : Counter
         Requests for the store's rows that an entry has received.
     slow_pairs : set[frozenset[str]]
@@ -145,6 +150,7 @@
     loss: float = 0.0
     messages_by_entry: Counter = Factory(Counter)
     row_requests_by_entry: Counter = Factory(Counter)
+    news_told: int = 0
     random: Random = Factory(lambda: Random(1))
     leavings: list = Factory(list)
     _starts: int = 0
