--- a/review/common.py
+++ b/review/common.py
@@ -212,6 +212,8 @@
         self.crashes_on = lambda _target: False
         # Returns what is sent late, in the place of the next answer on a connection.
         self.extra_after = lambda: b""
+        # A server that starts during traffic is cold, and slow, until then.
+        self.cold_until_s = 0.0
         self.state = "ready"
         # Whether the deployment writes its heartbeats.
         self.beats_by_itself = True
@@ -226,9 +228,18 @@
         """Return the value of the server's row, with the next sequence number."""
         self._sequence += 1
         info = {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots}
-        status = {"state": self.state, "sequence": self._sequence, "coldRemainingS": 0.0}
+        status = {
+            "state": self.state,
+            "sequence": self._sequence,
+            "coldRemainingS": self.cold_left_s,
+        }
         return {"address": self.address, "born": self.born, "info": info, "status": status}
 
+    @property
+    def cold_left_s(self):
+        """For how long the server stays cold."""
+        return max(0.0, self.cold_until_s - time.monotonic())
+
     @property
     def notices(self):
         """The headers of all answers that tell whether the server leaves."""
@@ -295,7 +306,9 @@
                 run["ended"] = "crashed"
                 self.crash()
                 return False
-            if self._is_closed_within(sock, self.work_s(method, target)):
+            if self._is_closed_within(
+                sock, self.work_s(method, target) * (2 if self.cold_left_s else 1)
+            ):
                 run["ended"] = "dropped"
                 self.record.add("run-dropped", id=request_id, server=self.id)
                 return False
@@ -579,9 +592,10 @@
         self.store.put("op", "config", value)
         self.record.add("configuration", version=version)
 
-    def add_server(self, server_id, service, zone, work_s):
+    def add_server(self, server_id, service, zone, work_s, cold_s=0.0):
         """Start a server and register it."""
         server = Server(server_id, service, zone, self.record, work_s)
+        server.cold_until_s = time.monotonic() + cold_s
         self.servers.append(server)
         self.store.put("servers", server_id, server.row())
         return server
