Log the status, the promise and the connection of each attempt's answer

Of the three hypotheses the log showed only the first. attempt-ended now has the status, whether the server states that the request was not run, and the number of the connection; answer-rejected tells of an answer that is not used, of which nothing was logged. No logic is changed. test_gateway, test_connections, test_platform_adapter: 61 passed.

--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -66,11 +66,14 @@
         Whether any byte of the request may have been sent.
     fresh : bool
         Whether the connection was opened for this exchange.
+    connection_number : int
+        Number of the connection among those opened by the process; 0 if none was opened.
     """
 
     code: Code
     sent: bool
     fresh: bool
+    connection_number: int = 0
 
 
 class AnswerSocket(GreenSocket):
@@ -153,6 +156,7 @@
 
 class _Connection(HTTPConnection):
     response_class = _Response
+    number = 0
 
 
 @frozen
@@ -219,6 +223,8 @@
         if is_fresh:
             self.opened += 1
             connection = _open(address, min(timeout_s, self.connect_timeout_s))
+            if connection is not None:
+                connection.number = self.opened
         left_s = deadline_s - now_s()
         if connection is None or left_s <= 0.0:
             _close(connection)
@@ -268,7 +274,7 @@
         connection.close()
         if not fresh:
             self.discard(address)
-        return AttemptFailure(code, True, fresh)
+        return AttemptFailure(code, True, fresh, connection.number)
 
     def _send_and_read(self, connection, address, request, name, timeout_s, is_fresh):
         method, target, headers, body = request
@@ -299,13 +305,27 @@
             rest = self._read_rest(connection, address, response)
             next(rest)
             return ServerAnswer(
-                response.status, end_to_end_headers, body, name, rest, length, is_fresh
+                response.status,
+                end_to_end_headers,
+                body,
+                name,
+                rest,
+                length,
+                is_fresh,
+                connection.number,
             )
         self._finish_exchange(connection, address, response)
         # The Content-Length of an answer to HEAD is that of the body it leaves out.
         body_length = length if method == "HEAD" and length is not None else len(body)
         return ServerAnswer(
-            response.status, end_to_end_headers, body, name, None, body_length, is_fresh
+            response.status,
+            end_to_end_headers,
+            body,
+            name,
+            None,
+            body_length,
+            is_fresh,
+            connection.number,
         )
 
     def _read_first_part(self, response):
--- a/figfold/entry/request_types.py
+++ b/figfold/entry/request_types.py
@@ -50,6 +50,8 @@
     ----------
     is_fresh : bool
         Whether the connection was opened for this exchange.
+    connection_number : int
+        Number of the connection among those opened by the process; 0 if it is not known.
     """
 
     status: int
@@ -59,6 +61,7 @@
     rest: Iterator[bytes] | None = None
     length: int = 0
     is_fresh: bool = True
+    connection_number: int = 0
 
 
 @frozen
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -272,6 +272,7 @@
             step=step.value,
             reason=reason,
             fresh=result.fresh,
+            connection=result.connection_number,
             **_stated(result.head),
         )
         if step is NextStep.GIVE_ANSWER and result.outcome is AttemptOutcome.ANSWERED:
@@ -376,7 +377,9 @@
         return {}
     load = head.load
     return {
+        "status": head.status,
         "named": head.is_named,
+        "not_run": head.is_not_run,
         "running": load.running if load else None,
         "waiting": load.waiting if load else None,
         "leaving": head.is_leaving,
--- a/figfold/gateway/sender.py
+++ b/figfold/gateway/sender.py
@@ -28,7 +28,9 @@
     fresh : bool
         Whether the connection was opened for this attempt.
     head : AnswerHeaders or None
-        What the headers of the server's answer state; None without a valid answer.
+        What the headers of the server's answer state; None without an answer.
+    connection_number : int
+        Number of the connection among those opened by the process; 0 if none was opened.
     """
 
     outcome: AttemptOutcome
@@ -37,6 +39,7 @@
     answer: object = None
     fresh: bool = True
     head: AnswerHeaders | None = None
+    connection_number: int = 0
 
     @property
     def load(self):
@@ -99,17 +102,50 @@
             if answer.rest is not None:
                 answer.rest.close()
             code = Code.FOREIGN_ANSWER if not head.matches_request else Code.SERVER_BAD_ANSWER
-            return AttemptResult(AttemptOutcome.FAILED, code, duration_s, fresh=answer.is_fresh)
+            return self._reject_answer(request, choice, head, answer, code, duration_s)
         if not head.is_other_server:
             self._apply_notices(request, choice, head)
         if head.is_not_run:
             code = Code.OTHER_SERVER if head.is_other_server else Code.SERVER_SHED
             return AttemptResult(
-                AttemptOutcome.NOT_RUN, code, duration_s, fresh=answer.is_fresh, head=head
+                AttemptOutcome.NOT_RUN,
+                code,
+                duration_s,
+                fresh=answer.is_fresh,
+                head=head,
+                connection_number=answer.connection_number,
             )
         failed = answer.status >= MIN_SERVER_ERROR_STATUS
         outcome = AttemptOutcome.ERROR_ANSWERED if failed else AttemptOutcome.ANSWERED
-        return AttemptResult(outcome, Code.OK, duration_s, answer, answer.is_fresh, head)
+        return AttemptResult(
+            outcome,
+            Code.OK,
+            duration_s,
+            answer,
+            answer.is_fresh,
+            head,
+            answer.connection_number,
+        )
+
+    def _reject_answer(self, request, choice, head, answer, code, duration_s):
+        """Log an answer that is not used, and return the attempt as failed."""
+        self.log.bind(
+            id=request.request_id,
+            server=choice.server_id,
+            code=int(code),
+            status=answer.status,
+            named=head.is_named,
+            not_run=head.is_not_run,
+            fresh=answer.is_fresh,
+            connection=answer.connection_number,
+        ).info("answer-rejected")
+        return AttemptResult(
+            AttemptOutcome.FAILED,
+            code,
+            duration_s,
+            fresh=answer.is_fresh,
+            connection_number=answer.connection_number,
+        )
 
     def _apply_notices(self, request, choice, head):
         """Apply what the server states about itself in an answer."""
@@ -136,4 +172,10 @@
 def _result_of_failure(failure, duration_s):
     if not failure.sent:
         return AttemptResult(AttemptOutcome.NOT_SENT, failure.code, duration_s)
-    return AttemptResult(AttemptOutcome.FAILED, failure.code, duration_s, fresh=failure.fresh)
+    return AttemptResult(
+        AttemptOutcome.FAILED,
+        failure.code,
+        duration_s,
+        fresh=failure.fresh,
+        connection_number=failure.connection_number,
+    )
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -52,6 +52,7 @@
 
     Attributes
     ----------
+    status : int
     matches_request : bool
         Whether the answer belongs to the request that was sent.
     is_named : bool
@@ -74,6 +75,7 @@
         Names of the headers above whose values cannot be read.
     """
 
+    status: int
     matches_request: bool
     is_not_run: bool
     is_other_server: bool
@@ -137,6 +139,7 @@
         RETRY_AFTER: (pause, pause_s),
     }
     return AnswerHeaders(
+        status=status,
         # A server that refuses before it has read the request cannot echo its id.
         matches_request=echoed == request_id or (echoed is None and (not_run or other_server)),
         is_not_run=not_run or other_server,
