--- a/figfold/gateway/sender.py
+++ b/figfold/gateway/sender.py
@@ -28,7 +28,7 @@
     fresh : bool
         Whether the connection was opened for this attempt.
     head : AnswerHeaders or None
-        What the headers of the server's answer state; None without an answer.
+        What the headers of the server's answer state; None without a valid answer.
     connection_number : int
         Number of the connection among those opened by the process; 0 if none was opened.
     """
