Believe a refusal without an id for a booking on new connections only

Callers saw: a booking that ran twice (TWICE), or one that was refused with a promise and ran (REFUSED). A server had sent a refusal without an id after the complete answer to an earlier request; it arrived when the next request had been sent on the connection, counted for that one, and the booking went to a second server while the first one ran it.

Cause: parse_answer_headers accepts a refusal without an id for the latest request on any connection, though only on a new one can it belong to nothing else. Class: an answer is called "not run" on something that doesn't prove it.

Fix: on a used connection such a refusal leaves a booking's outcome unknown. Entries note for a minute that servers of a service refuse without an id, and send its bookings over new connections meanwhile, so that they can still go elsewhere.

--- a/bench/day_servers.py
+++ b/bench/day_servers.py
@@ -145,7 +145,7 @@
             late[0] = b""
         deadline_s = time.monotonic() + float(headers.get("deadline-ms", 30000)) / 1000
         refusal = {"Not-Executed": "1"}
-        if self._fault("shed") or not self._acquire_slot(deadline_s):
+        if self._fault("shed", "shed-bookings") or not self._acquire_slot(deadline_s):
             return _send(sock, "503 Service Unavailable", refusal)
         self._running += 1
         try:
--- a/bench/real_day.py
+++ b/bench/real_day.py
@@ -249,14 +249,18 @@
             "extra": ("", 0.3, 0.018, 5.0),
             "extra-late": ("booking", 0.6, 0.03, 5.0),
             "refusal-late": ("booking", 0.6, 0.03, 5.0),
+            # At the time of the late refusals, if there are any.
+            "shed-bookings": ("booking", 1.0, 0.6, 8.0),
             "shed": ("calendar", 1.0, 0.55, 8.0),
             "slow": ("", 0.4, 1.0, 8.0),
             "cut": ("", 0.3, 0.018, 5.0),
         }
+        from_s = self._t0_s
         for kind, (service, share, dose, for_s) in doses.items():
             if kind not in self.events:
                 continue
-            from_s = self._t0_s + self.random.uniform(2.0, max(3.0, self.length_s - for_s))
+            if kind != "shed-bookings" or "refusal-late" not in self.events:
+                from_s = self._t0_s + self.random.uniform(2.0, max(3.0, self.length_s - for_s))
             for plan in plans:
                 if service in plan["service"] and self.random.random() < share:
                     plan["faults"].append((kind, from_s, from_s + for_s, dose))
@@ -625,7 +629,8 @@
 
 ALL_EVENTS = (
     "config,evacuate,kill,term,freeze,slow-entry,herd,store,store-node,history,silence,lost-writes,"
-    "leave,reuse,release,lost,extra,extra-late,shed,slow,cut,burst,retry_abuse,give_up"
+    "leave,reuse,release,lost,extra,extra-late,refusal-late,shed,shed-bookings,slow,cut,burst,"
+    "retry_abuse,give_up"
 )
 
 
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -161,7 +161,9 @@
     def _run_attempt(self, attempt_id, choice):
         left_s = self.deadline_s - now_s()
         try:
-            result = self.runner.sender.send(self.request, choice, max(0.001, left_s))
+            result = self.runner.sender.send(
+                self.request, choice, max(0.001, left_s), self.service, self.route.is_repeatable
+            )
         except Exception as error:
             self.runner.metrics.count("loop_errors", loop="attempt")
             self.runner.log.opt(exception=error).error("attempt failed unexpectedly")
--- a/figfold/gateway/sender.py
+++ b/figfold/gateway/sender.py
@@ -12,6 +12,9 @@
 # Time without reuse of connections to a server after an answer of it that was malformed or
 # belonged to another request.
 NO_REUSE_S = 10.0
+# Time without reuse of connections to a service, for requests that may run at most once, after one
+# of its servers has refused a request without naming it.
+UNNAMED_REFUSALS_S = 60.0
 MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -69,18 +72,25 @@
     part_of_limit: object
     log: object
     _no_reuse_until_s: dict = Factory(dict)
+    _unnamed_until_s_by_service: dict = Factory(dict)
 
     def remove_server(self, server_id):
         """Drop the state of a server that was removed from the fleet."""
         self._no_reuse_until_s.pop(server_id, None)
 
-    def send(self, request, choice, time_left_s, fresh=False):
-        """Send a request to the chosen server and return an `AttemptResult`."""
+    def send(self, request, choice, time_left_s, service, is_repeatable):
+        """Send a request to the chosen server and return an `AttemptResult`.
+
+        A request that may run at most once gets a new connection if servers of the service refuse
+        without an id, since only there such a refusal is certain to be its own.
+        """
         started = now_s()
         if not self.fleet.accepts_requests(choice.server_id):
             # Since it was chosen, it has started to leave or its data centre is being evacuated.
             return AttemptResult(AttemptOutcome.NOT_SENT, Code.NO_SERVER, 0.0)
-        fresh = fresh or started < self._no_reuse_until_s.get(choice.server_id, 0.0)
+        fresh = started < self._no_reuse_until_s.get(choice.server_id, 0.0) or (
+            not is_repeatable and started < self._unnamed_until_s_by_service.get(service, 0.0)
+        )
         message = (request.method, request.target, request.headers, request.body)
         result = self.connections.exchange(
             choice.address, message, time_left_s, fresh, choice.server_id
@@ -88,19 +98,23 @@
         duration_s = now_s() - started
         if result.is_err():
             return _result_of_failure(result.err(), duration_s)
-        return self._result_of_answer(request, choice, result.ok(), duration_s)
-
-    def _result_of_answer(self, request, choice, answer, duration_s):
+        answer = result.ok()
         header_by_name = {name.lower(): value for name, value in answer.headers}
         head = parse_answer_headers(
             answer.status, lambda name: header_by_name.get(name.lower()), request.request_id
         )
+        if head.is_not_run and not head.is_named:
+            self._unnamed_until_s_by_service[service] = now_s() + UNNAMED_REFUSALS_S
+            if not is_repeatable and not _is_certain(head, answer.is_fresh, choice.server_id):
+                code = Code.FOREIGN_ANSWER
+                return self._reject_answer(request, choice, head, answer, code, duration_s)
+        return self._result_of_answer(request, choice, head, answer, duration_s)
+
+    def _result_of_answer(self, request, choice, head, answer, duration_s):
         if not head.matches_request or not head.is_intact:
             # Other data on these connections may belong to no request, or to the wrong one.
             self.connections.discard(choice.address)
             self._no_reuse_until_s[choice.server_id] = now_s() + NO_REUSE_S
-            if answer.rest is not None:
-                answer.rest.close()
             code = Code.FOREIGN_ANSWER if not head.matches_request else Code.SERVER_BAD_ANSWER
             return self._reject_answer(request, choice, head, answer, code, duration_s)
         if not head.is_other_server:
@@ -128,7 +142,9 @@
         )
 
     def _reject_answer(self, request, choice, head, answer, code, duration_s):
-        """Log an answer that is not used, and return the attempt as failed."""
+        """Log and close an answer that is not used, and return the attempt as failed."""
+        if answer.rest is not None:
+            answer.rest.close()
         self.log.bind(
             id=request.request_id,
             server=choice.server_id,
@@ -169,6 +185,16 @@
             log.bind(per_s=per_s, before=known_per_s, part=round(part, 4)).info("server-limit")
 
 
+def _is_certain(head, is_fresh, server_id):
+    """Return whether a refusal without an id shows that the latest request was not run.
+
+    On a used connection, it may have followed the answer to an earlier request. Another server, on
+    the other hand, has run nothing that was addressed to this one.
+    """
+    is_other = head.is_other_server and head.answering_server not in ("", server_id)
+    return is_fresh or is_other
+
+
 def _result_of_failure(failure, duration_s):
     if not failure.sent:
         return AttemptResult(AttemptOutcome.NOT_SENT, failure.code, duration_s)
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -12,6 +12,7 @@
 # Identifies the object that a request concerns, not the caller.
 OBJECT_KEY = "Affinity-Key"
 SERVER_ID = "Target-Instance"
+ANSWERING_SERVER = "Instance-Id"
 SEAL = "Response-Seal"
 LOAD = "Instance-Load"
 NOT_RUN = "Not-Executed"
@@ -54,13 +55,15 @@
     ----------
     status : int
     matches_request : bool
-        Whether the answer belongs to the request that was sent.
+        Whether the answer names the request that was sent, or none and is a refusal.
     is_named : bool
         Whether the answer names the request that it belongs to.
     is_not_run : bool
         Whether the server guarantees that it did not run the request.
     is_other_server : bool
         Whether the request reached another server than the one it was addressed to.
+    answering_server : str
+        Id of the server that gave the answer; empty if it is not stated.
     is_intact : bool
         Whether the body has no content encoding, and an answer of success carries the seal.
     load : LoadReport or None
@@ -81,6 +84,7 @@
     is_other_server: bool
     is_intact: bool
     is_named: bool = True
+    answering_server: str = ""
     load: LoadReport | None = None
     is_leaving: bool = False
     rate_limit_per_s: float | None = None
@@ -145,6 +149,7 @@
         is_not_run=not_run or other_server,
         is_other_server=other_server,
         is_named=echoed is not None,
+        answering_server=get(ANSWERING_SERVER) or "",
         is_intact=not encoded and (not success or bool(get(SEAL))),
         load=_parse_load(get(LOAD)),
         is_leaving=(get(LEAVING) or "").strip() == "1",
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -43,7 +43,9 @@
         ``cut`` truncates a response without a length; ``cut-head`` ends within the head of a
         response; ``foreign`` sends the response of another attempt; ``shed`` refuses;
         ``shed-twice`` refuses once and writes the refusal again before the response to the next
-        request on the connection; ``silent`` never answers; ``extra`` sends a second response.
+        request on the connection; ``silent`` never answers; ``extra`` sends a second response;
+        ``late-refusal`` sends a refusal without an id before the response to the next request on
+        the connection.
     announces_leaving : bool
         Whether its answers state that it leaves, whatever its row says.
     limit_per_s : float or None
@@ -190,6 +192,8 @@
             reset_connection(sock)
             return False
         stays_open = _send(sock, "200 OK", response_headers, answer)
+        if self.fault == "late-refusal":
+            self._refused.add(sock)
         if self.fault == "extra":
             _send(sock, "200 OK", response_headers | {"Attempt-Id": "other"}, b"extra")
         return stays_open
--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -229,7 +229,9 @@
 
     def _break_answers(self):
         endpoint = self.random.choice(self._staying())
-        self._set_fault(endpoint, self.random.choice(("shed-twice", "cut-head", "extra")), 0.5)
+        self._set_fault(
+            endpoint, self.random.choice(("shed-twice", "cut-head", "extra", "late-refusal")), 0.5
+        )
 
     def _set_fault(self, endpoint, fault, duration_s):
         endpoint.fault = fault
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -330,6 +330,30 @@
             self.assertLessEqual(runs, 1)
             self.assertEqual(status in (200, 502, 504), runs == 1, (status, runs))
 
+    # A refusal without an id came late on a kept connection, after an answer that named its own
+    # request. It counted for the next booking, which ran, and was sent to a second server as well
+    # (TWICE) or answered as not run (REFUSED).
+    def test_refusal_that_follows_an_answer_refuses_no_other_request(self):
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        for number in range(24):
+            self.deployment.set_fault("late-refusal" if number % 4 == 0 else "", "cutdesk")
+            request_id = f"late-{number}"
+            status, _, _ = entry.request(request_id, "POST", "/book/1", key="late")
+            runs = self.deployment.runs(request_id)
+            self.assertLessEqual(runs, 1)
+            self.assertEqual(status in (200, 502, 504), runs == 1, (status, runs))
+
+    # Servers that refuse without an id are believed, so that bookings can go elsewhere.
+    def test_refusals_without_an_id_send_bookings_to_other_servers(self):
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        entry.request("first", "POST", "/book/1", key="shed")
+        self.deployment.set_fault("shed", "cutdesk", count=1)
+        statuses = [
+            entry.request(f"shed-{number}", "POST", "/book/1", key="shed")[0]
+            for number in range(12)
+        ]
+        self.assertGreaterEqual(statuses.count(200), 11, statuses)
+
     def test_idle_and_slow_callers_are_disconnected_at_the_configured_times(self):
         limits = {"idleTimeoutS": 1.5, "headerTimeoutS": 0.5}
         self.deployment.rows.put("op", "config", configuration(3) | {"limits": limits})
