Pass no failure on as a refusal unless its server states that it ran nothing

Callers saw: 503, 429 or 408 for a booking, which promise that it was not run, though its server had run it (REFUSED).

Cause: the status of a server's failure was passed on unchanged, also where it means something else between server and entry than between entry and caller. Only Not-Executed and 421 state that a request was not run. Class: an answer is called "not run" on something that doesn't prove it. Whether a server of the users ever answers so isn't known.

Evidence: a stand-in that runs bookings and answers 503, 429 and 408 without Not-Executed: passed on with the seal before, 502 without it after; 500 is passed on as before. The new test failed before. Reads get the status unchanged, since they may be repeated.

--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -89,6 +89,7 @@
     PEER_ENTRY_FAILED = 408
     OTHER_SERVER = 409
     FOREIGN_ANSWER = 410
+    UNPROVEN_REFUSAL = 411
 
     # Look-ups.
     LOOKUP_NO_ENTRY = 501
--- a/figfold/gateway/sender.py
+++ b/figfold/gateway/sender.py
@@ -108,9 +108,9 @@
             if not is_repeatable and not _is_certain(head, answer.is_fresh, choice.server_id):
                 code = Code.FOREIGN_ANSWER
                 return self._reject_answer(request, choice, head, answer, code, duration_s)
-        return self._result_of_answer(request, choice, head, answer, duration_s)
+        return self._result_of_answer(request, choice, head, answer, duration_s, is_repeatable)
 
-    def _result_of_answer(self, request, choice, head, answer, duration_s):
+    def _result_of_answer(self, request, choice, head, answer, duration_s, is_repeatable):
         if not head.matches_request or not head.is_intact:
             # Other data on these connections may belong to no request, or to the wrong one.
             self.connections.discard(choice.address)
@@ -129,6 +129,10 @@
                 head=head,
                 connection_number=answer.connection_number,
             )
+        if head.is_unproven_refusal and not is_repeatable:
+            # The caller would take the status for the entry's own promise and send it again.
+            code = Code.UNPROVEN_REFUSAL
+            return self._reject_answer(request, choice, head, answer, code, duration_s)
         failed = answer.status >= MIN_SERVER_ERROR_STATUS
         outcome = AttemptOutcome.ERROR_ANSWERED if failed else AttemptOutcome.ANSWERED
         return AttemptResult(
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -20,6 +20,8 @@
 RATE_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
 HTTP_OTHER_SERVER = 421
+# To a caller, these state that its request was not run and never will be.
+REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 HTTP_UNAVAILABLE = 503
 PERCENT = 100.0
 MS_PER_S = 1000.0
@@ -60,6 +62,8 @@
         Whether the answer names the request that it belongs to.
     is_not_run : bool
         Whether the server guarantees that it did not run the request.
+    is_unproven_refusal : bool
+        Whether callers take the status for a refusal, though the server may have run the request.
     is_other_server : bool
         Whether the request reached another server than the one it was addressed to.
     answering_server : str
@@ -81,6 +85,7 @@
     status: int
     matches_request: bool
     is_not_run: bool
+    is_unproven_refusal: bool
     is_other_server: bool
     is_intact: bool
     is_named: bool = True
@@ -147,6 +152,7 @@
         # A server that refuses before it has read the request cannot echo its id.
         matches_request=echoed == request_id or (echoed is None and (not_run or other_server)),
         is_not_run=not_run or other_server,
+        is_unproven_refusal=status in REFUSAL_STATUSES and not (not_run or other_server),
         is_other_server=other_server,
         is_named=echoed is not None,
         answering_server=get(ANSWERING_SERVER) or "",
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -46,6 +46,8 @@
         request on the connection; ``silent`` never answers; ``extra`` sends a second response;
         ``late-refusal`` sends a refusal without an id before the response to the next request on
         the connection.
+    error_status : str
+        Status line of the failure with which it answers requests that it has run; empty for none.
     announces_leaving : bool
         Whether its answers state that it leaves, whatever its row says.
     limit_per_s : float or None
@@ -72,6 +74,7 @@
     slots: int = 3
     cold_start_s: float = 0.0
     fault: str = ""
+    error_status: str = ""
     announces_leaving: bool = False
     limit_per_s: float | None = None
     pause_s: float = 0.0
@@ -191,7 +194,7 @@
             eventlet.sleep(0.05)
             reset_connection(sock)
             return False
-        stays_open = _send(sock, "200 OK", response_headers, answer)
+        stays_open = _send(sock, self.error_status or "200 OK", response_headers, answer)
         if self.fault == "late-refusal":
             self._refused.add(sock)
         if self.fault == "extra":
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -343,6 +343,23 @@
             self.assertLessEqual(runs, 1)
             self.assertEqual(status in (200, 502, 504), runs == 1, (status, runs))
 
+    # A server ran a booking and answered with a status that promises the opposite, which was passed
+    # on, so that the caller sent the booking again (REFUSED).
+    def test_failure_of_a_booking_that_ran_is_not_passed_on_as_a_refusal(self):
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        for status_line, expected in (
+            ("503 Service Unavailable", 502),
+            ("429 Too Many Requests", 502),
+            ("408 Request Timeout", 502),
+            ("500 Internal Server Error", 500),
+        ):
+            for endpoint in self.deployment.endpoint_by_id.values():
+                endpoint.error_status = status_line
+            request_id = f"error-{status_line[:3]}"
+            status, headers, _ = entry.request(request_id, "POST", "/book/1")
+            self.assertEqual((status, self.deployment.runs(request_id)), (expected, 1))
+            self.assertEqual("Response-Seal" in headers, expected == 500, headers)
+
     # Servers that refuse without an id are believed, so that bookings can go elsewhere.
     def test_refusals_without_an_id_send_bookings_to_other_servers(self):
         entry = self.deployment.start_entry("entry-1", "bne-north")
