Make a second attempt at an address on a new connection

Two servers may have one address, since addresses are used again. The first attempt gets a 421 that names the request; the second one goes to the other server on the same connection. If the server writes the 421 once more, it names the request that waits and counts for the second attempt, which runs: the booking is sent on (TWICE) or answered as not run (REFUSED).

Cause: the id of the caller's request names the request, not the attempt. Class: as before, "not run" on something that doesn't prove it. Attempts at one server can't have this, since a request is sent to each server once.

--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -50,6 +50,8 @@
         `AttemptEnded`, `CALLER_DISCONNECTED` and `DEADLINE_CHANGED`.
     tried : set[str]
         Servers that the request was sent to.
+    tried_addresses : set[str]
+        Their addresses. Two servers may have the same one, if it was used again.
     last_code : Code
         Reason for which the latest attempt gave no answer.
     retry_after_s : float
@@ -69,6 +71,7 @@
     attempt_by_id: dict = Factory(dict)
     progress: RequestProgress = Factory(RequestProgress)
     tried: set = Factory(set)
+    tried_addresses: set = Factory(set)
     last_code: Code = Code.OK
     error_answer: object = None
     hedge_decided: bool = False
@@ -154,15 +157,23 @@
             servers_age_s=round(runner.cluster.servers_age_s(now), 2),
             operator_age_s=round(runner.cluster.operator_age_s(now), 2),
         )
-        thread = eventlet.spawn(self._run_attempt, attempt_id, choice)
+        # A late answer to an earlier attempt would name the same request.
+        needs_fresh = choice.address in self.tried_addresses
+        self.tried_addresses.add(choice.address)
+        thread = eventlet.spawn(self._run_attempt, attempt_id, choice, needs_fresh)
         self.attempt_by_id[attempt_id] = _Attempt(choice, now, thread, is_hedge)
         return True
 
-    def _run_attempt(self, attempt_id, choice):
+    def _run_attempt(self, attempt_id, choice, needs_fresh):
         left_s = self.deadline_s - now_s()
         try:
             result = self.runner.sender.send(
-                self.request, choice, max(0.001, left_s), self.service, self.route.is_repeatable
+                self.request,
+                choice,
+                max(0.001, left_s),
+                self.service,
+                self.route.is_repeatable,
+                needs_fresh,
             )
         except Exception as error:
             self.runner.metrics.count("loop_errors", loop="attempt")
--- a/figfold/gateway/sender.py
+++ b/figfold/gateway/sender.py
@@ -78,7 +78,7 @@
         """Drop the state of a server that was removed from the fleet."""
         self._no_reuse_until_s.pop(server_id, None)
 
-    def send(self, request, choice, time_left_s, service, is_repeatable):
+    def send(self, request, choice, time_left_s, service, is_repeatable, needs_fresh=False):
         """Send a request to the chosen server and return an `AttemptResult`.
 
         A request that may run at most once gets a new connection if servers of the service refuse
@@ -88,8 +88,10 @@
         if not self.fleet.accepts_requests(choice.server_id):
             # Since it was chosen, it has started to leave or its data centre is being evacuated.
             return AttemptResult(AttemptOutcome.NOT_SENT, Code.NO_SERVER, 0.0)
-        fresh = started < self._no_reuse_until_s.get(choice.server_id, 0.0) or (
-            not is_repeatable and started < self._unnamed_until_s_by_service.get(service, 0.0)
+        fresh = (
+            needs_fresh
+            or started < self._no_reuse_until_s.get(choice.server_id, 0.0)
+            or (not is_repeatable and started < self._unnamed_until_s_by_service.get(service, 0.0))
         )
         message = (request.method, request.target, request.headers, request.body)
         result = self.connections.exchange(
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -45,7 +45,8 @@
         ``shed-twice`` refuses once and writes the refusal again before the response to the next
         request on the connection; ``silent`` never answers; ``extra`` sends a second response;
         ``late-refusal`` sends a refusal without an id before the response to the next request on
-        the connection.
+        the connection; ``misdirected-twice`` names the request in its answer that another server
+        was meant, and writes that answer again before the response to the next request.
     error_status : str
         Status line of the failure with which it answers requests that it has run; empty for none.
     announces_leaving : bool
@@ -92,6 +93,8 @@
     _cached_keys: OrderedDict = field(factory=OrderedDict)
     # Connections on which a refusal is still to be written again.
     _refused: set = field(factory=set)
+    # Connections on which an answer for another server is still to be written again.
+    _misdirected: set = field(factory=set)
 
     def start(self):
         """Listen and serve in green threads."""
@@ -162,11 +165,9 @@
     def _answer(self, sock, line, headers, body):
         request_id = headers.get("attempt-id", "")
         if headers.get("target-instance", self.id) != self.id:
-            return _send(sock, "421 Misdirected Request", {"Instance-Id": self.id}, b"")
+            return self._redirect(sock, request_id)
         self.arrived_s_by_request[request_id] = time.monotonic()
-        if sock in self._refused:
-            self._refused.discard(sock)
-            self._refuse(sock, request_id)
+        self._repeat_refusal(sock, request_id)
         if self.fault in ("shed", "shed-twice"):
             return self._refuse(sock, request_id)
         with self._free_slots:
@@ -213,6 +214,23 @@
             self.notices.append(Notice(now_s, request_id, "limit", self.limit_per_s))
         return headers
 
+    def _repeat_refusal(self, sock, request_id):
+        """Write the latest refusal on the connection again, if the fault asks for that."""
+        for connections, refuse in (
+            (self._misdirected, self._redirect),
+            (self._refused, self._refuse),
+        ):
+            if sock in connections:
+                connections.discard(sock)
+                refuse(sock, request_id)
+
+    def _redirect(self, sock, request_id):
+        headers = {"Instance-Id": self.id}
+        if self.fault == "misdirected-twice":
+            headers["Attempt-Id"] = request_id
+            self._misdirected.add(sock)
+        return _send(sock, "421 Misdirected Request", headers, b"")
+
     def _refuse(self, sock, request_id):
         headers = {"Not-Executed": "1"} | self._state_notices(request_id)
         if self.pause_s:
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -343,6 +343,21 @@
             self.assertLessEqual(runs, 1)
             self.assertEqual(status in (200, 502, 504), runs == 1, (status, runs))
 
+    # The refusal of a first attempt was written again on the connection of the second one.
+    # That one ran, and the booking was sent to further servers as well (TWICE).
+    def test_refusal_of_an_earlier_attempt_refuses_no_later_one(self):
+        servers = [one for one in self.deployment.endpoint_by_id.values() if "cut" in one.service]
+        for endpoint in servers:
+            endpoint.fault = "misdirected-twice"
+            self.deployment.rows.put("servers", f"former-{endpoint.id}", endpoint.row())
+        entry = self.deployment.start_entry("entry-1", "bne-north")
+        for number in range(12):
+            request_id = f"former-{number}"
+            status, _, _ = entry.request(request_id, "POST", "/book/1", key=str(number))
+            runs = self.deployment.runs(request_id)
+            self.assertLessEqual(runs, 1)
+            self.assertEqual(status in (200, 502, 504), runs == 1, (status, runs))
+
     # A server ran a booking and answered with a status that promises the opposite, which was passed
     # on, so that the caller sent the booking again (REFUSED).
     def test_failure_of_a_booking_that_ran_is_not_passed_on_as_a_refusal(self):
