Limit the memory of all answers together

Callers saw, in a report of other operators: a machine ran out of memory because a faulty server sent bytes without end, and all requests on it ended (LOST). It could happen here: one entry, four servers of which two send without end, 64 callers: 382 MB with a body without a length, 347 MB with chunks; the smallest machines have 200 MB.

Cause: each answer without a length may take up 16 MB, and each other one 1 MB, with no limit for all of them. Class: memory that is limited for each answer, but not for all together.

Fix: one answer may take up as much memory as all together leave free, so that many endless answers leave room for small ones. All have a fifth of the process's memory, which the platform states in its settings (memory_mb). Without room, an answer with a length is passed on while it arrives, and one without fails (412). What is held is the metric figfold_answer_bytes.

--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -90,6 +90,7 @@
     OTHER_SERVER = 409
     FOREIGN_ANSWER = 410
     UNPROVEN_REFUSAL = 411
+    NO_ANSWER_MEMORY = 412
 
     # Look-ups.
     LOOKUP_NO_ENTRY = 501
--- a/figfold/entry/caller_app.py
+++ b/figfold/entry/caller_app.py
@@ -18,7 +18,7 @@
 from figfold.core.codes import Code, Outcome
 from figfold.entry.app_errors import UNEXPECTED, AppErrors
 from figfold.entry.clock import MS_PER_S, now_s
-from figfold.entry.large_body import JoinedBody
+from figfold.entry.large_body import AnswerBody
 from figfold.entry.metrics import Metrics
 from figfold.entry.request_types import CallerRequest, Refusal, http_status, refuse
 
@@ -223,7 +223,7 @@
         if self.is_leaving():
             headers.append(("Connection", "close"))
         start_response(f"{answer.status} {_reason(answer.status)}", headers)
-        return [answer.body] if answer.rest is None else JoinedBody(answer.body, answer.rest)
+        return AnswerBody.of(answer)
 
     def _answer_refusal(self, refusal, start_response):
         failure = refusal.failure
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -22,6 +22,7 @@
 from urllib3.exceptions import HTTPError, IncompleteRead
 
 from figfold.core.codes import Code
+from figfold.entry.answer_memory import AnswerMemory, AnswerMemoryError, HeldMemory
 from figfold.entry.clock import MS_PER_S, now_s
 from figfold.entry.request_types import ServerAnswer
 
@@ -34,6 +35,8 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 # The largest answer accepted without a Content-Length.
 UNSIZED_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+# An answer that was read in parts is held twice while they are joined.
+COPIES = 2
 # The most bytes that are read up to the end of an answer's head, with interim answers.
 HEAD_LIMIT_BYTES = 256 * 1024
 # The most bytes that the framing of an unsized answer may add, with its trailers.
@@ -180,7 +183,9 @@
     idle_limit_s : float
         Time after which an idle connection is closed.
     buffer_bytes : int
-        Size up to which an answer is read completely before it is passed on.
+        Size up to which an answer is read completely before it is passed on, if memory permits.
+    memory : AnswerMemory
+        Memory for the parts of answers that were read and not yet passed on.
     headers_at_send : callable
         ``(name, left_s)``, returns the headers that depend on the server and on the time left.
     allows_reuse : callable
@@ -192,6 +197,7 @@
 
     idle_limit_s: float
     buffer_bytes: int
+    memory: AnswerMemory = Factory(AnswerMemory)
     idle_by_address: dict[str, deque] = Factory(dict)
     headers_at_send: Callable = _deadline_header
     allows_reuse: Callable = lambda _get: True
@@ -297,7 +303,8 @@
         sock.allowed_bytes = (
             inf if length is not None else UNSIZED_ANSWER_LIMIT_BYTES + FRAMING_LIMIT_BYTES
         )
-        body = self._read_first_part(response)
+        held = HeldMemory(self.memory)
+        body = self._read_first_part(response, held)
         end_to_end_headers = tuple(
             (key, value) for key, value in response.headers.items() if key.lower() not in HOP_BY_HOP
         )
@@ -313,6 +320,7 @@
                 length,
                 is_fresh,
                 connection.number,
+                held,
             )
         self._finish_exchange(connection, address, response)
         # The Content-Length of an answer to HEAD is that of the body it leaves out.
@@ -326,20 +334,29 @@
             body_length,
             is_fresh,
             connection.number,
+            held,
         )
 
-    def _read_first_part(self, response):
+    def _read_first_part(self, response, held):
+        """Read an answer without a length to its end, any other as far as it is buffered."""
         parts = []
         size = 0
-        while size < self.buffer_bytes or _content_length(response) is None:
+        length = _content_length(response)
+        while length is None or size < min(length, self.buffer_bytes):
+            if length is not None and not held.may_grow(COPIES * READ_SIZE_BYTES):
+                break
             part = response.read(READ_SIZE_BYTES, decode_content=False)
             if not part:
                 break
-            parts.append(part)
             size += len(part)
             if size > UNSIZED_ANSWER_LIMIT_BYTES:
                 raise ValueError("answer without a length is too large")
-        return b"".join(parts)
+            held.grow(COPIES * len(part))
+            parts.append(part)
+        body = b"".join(parts)
+        del parts
+        held.shrink(held.size - size)
+        return body
 
     def _read_rest(self, connection, address, response):
         """Yield the remaining parts after an empty one.
@@ -383,6 +400,8 @@
 
 
 def _code_of(error):
+    if isinstance(error, AnswerMemoryError):
+        return Code.NO_ANSWER_MEMORY
     if isinstance(error, (IncompleteRead, IncompleteHeadError)):
         return Code.SERVER_SHORT_ANSWER
     causes = (error, *getattr(error, "args", ()), error.__cause__, error.__context__)
--- a/figfold/entry/dispatcher.py
+++ b/figfold/entry/dispatcher.py
@@ -34,6 +34,7 @@
     Code.SERVER_RESET: DispatchOutcome.RESET,
     Code.SERVER_SHORT_ANSWER: DispatchOutcome.SHORT_ANSWER,
     Code.SERVER_BAD_ANSWER: DispatchOutcome.SHORT_ANSWER,
+    Code.NO_ANSWER_MEMORY: DispatchOutcome.SHORT_ANSWER,
     Code.SERVER_SHED: DispatchOutcome.SHED,
 }
 
@@ -292,6 +293,7 @@
     Code.SERVER_RESET: "the backend server closed the connection",
     Code.SERVER_SHORT_ANSWER: "the backend server's answer was cut short",
     Code.SERVER_BAD_ANSWER: "the backend server's answer was not valid HTTP",
+    Code.NO_ANSWER_MEMORY: "there was no memory for the backend server's answer",
     Code.SERVER_SHED: "the backend servers shed the request",
 }
 
--- a/figfold/entry/large_body.py
+++ b/figfold/entry/large_body.py
@@ -42,16 +42,36 @@
 
 
 @define(eq=False)
-class JoinedBody:
-    """The first part of a large answer followed by its rest."""
+class AnswerBody:
+    """Iterates over the body of an answer, and releases the memory of what has been written.
+
+    Attributes
+    ----------
+    first : bytes
+    rest : iterator of bytes or None
+        What follows of a large answer.
+    held : HeldMemory
+        The memory that ``first`` takes up.
+    """
 
     first: bytes
-    rest: Iterator[bytes]
+    rest: Iterator[bytes] | None
+    held: object
+
+    @classmethod
+    def of(cls, answer):
+        """Return the body of a `ServerAnswer`."""
+        return cls(answer.body, answer.rest, answer.held)
 
     def __iter__(self):
-        yield self.first
-        yield from self.rest
+        first, self.first = self.first, b""
+        yield first
+        del first
+        self.held.release()
+        if self.rest is not None:
+            yield from self.rest
 
     def close(self):
         """Close the rest."""
-        self.rest.close()
+        if self.rest is not None:
+            self.rest.close()
--- a/figfold/entry/request_types.py
+++ b/figfold/entry/request_types.py
@@ -5,6 +5,7 @@
 from attrs import Factory, field, frozen
 
 from figfold.core.codes import Code, Failure, Outcome
+from figfold.entry.answer_memory import HeldMemory
 
 
 @frozen
@@ -52,6 +53,8 @@
         Whether the connection was opened for this exchange.
     connection_number : int
         Number of the connection among those opened by the process; 0 if it is not known.
+    held : HeldMemory
+        The memory that ``body`` takes up.
     """
 
     status: int
@@ -62,6 +65,7 @@
     length: int = 0
     is_fresh: bool = True
     connection_number: int = 0
+    held: HeldMemory = field(factory=HeldMemory, eq=False, repr=False)
 
 
 @frozen
@@ -109,6 +113,7 @@
     Code.CONNECT_FAILED: 502,
     Code.PEER_ENTRY_FAILED: 502,
     Code.UNPROVEN_REFUSAL: 502,
+    Code.NO_ANSWER_MEMORY: 502,
     Code.ANSWER_NOT_KEPT: 410,
     Code.ENTRY_ERROR: 500,
 }
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -10,7 +10,7 @@
 from figfold.core.codes import Code
 from figfold.entry.clock import now_s
 from figfold.entry.connections import HOP_BY_HOP
-from figfold.entry.large_body import JoinedBody
+from figfold.entry.large_body import AnswerBody
 from figfold.gateway.bodies import BodyMemoryLimiter, read_body
 from figfold.gateway.protocol import CLOSES_CONNECTION, CONNECTION, RAW_TARGET, host_name
 from figfold.gateway.requests import GatewayRequest, RequestFailure
@@ -105,7 +105,7 @@
         headers = [*answer.headers, ("Content-Length", str(answer.length))]
         self._close_if_leaving(environ, headers)
         start_response(f"{answer.status} Status", headers)
-        return [answer.body] if answer.rest is None else JoinedBody(answer.body, answer.rest)
+        return AnswerBody.of(answer)
 
     def _answer_failure(self, environ, request, failure, started, start_response):
         self.metrics.count_code(failure.code, reason=failure.reason)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -19,6 +19,7 @@
 from figfold.core.traffic.selection import Selector
 from figfold.core.traffic.server_limits import ServerLimits
 from figfold.core.traffic.splitting import ServiceSplitter
+from figfold.entry.answer_memory import AnswerMemory
 from figfold.entry.clock import MS_PER_S, now_s, wall_s
 from figfold.entry.connections import Connections
 from figfold.entry.http_protocol import HEADER_LINE_BYTES, make_protocol
@@ -52,6 +53,9 @@
 # Longer than the longest idle time that a configuration may set for callers.
 CALLER_SOCKET_TIMEOUT_S = 120.0
 ANSWER_BUFFER_BYTES = 1 << 20
+# Fraction of the process's memory that all answers of backend servers may take up together.
+ANSWER_MEMORY_FRACTION = 0.2
+BYTES_PER_MB = 1 << 20
 IDLE_CONNECTION_S = 30.0
 IDLE_SWEEP_INTERVAL_S = 5.0
 # Fractions of the stop's grace time: until new requests are refused, until all requests have their
@@ -80,6 +84,7 @@
     "metrics_address",
     "store_address",
     "store_timeout_s",
+    "memory_mb",
     "region_by_place",
     "peers",
 )
@@ -222,6 +227,7 @@
         self.connections = Connections(
             IDLE_CONNECTION_S,
             ANSWER_BUFFER_BYTES,
+            AnswerMemory(int(ANSWER_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB)),
             headers_at_send=server_headers,
             allows_reuse=names_its_request,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -453,6 +459,7 @@
                 ("servers_age_seconds", {}, self.cluster.servers_age_s(now)),
                 ("operator_age_seconds", {}, self.cluster.operator_age_s(now)),
                 ("live_entries", {}, len(self.cluster.live_entry_places())),
+                ("answer_bytes", {}, self.connections.memory.held_bytes),
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
                 ("connections_opened", {}, self.connections.opened),
                 ("log_lines_dropped", {}, self.event_log.total_dropped),
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -49,6 +49,8 @@
         was meant, and writes that answer again before the response to the next request.
     error_status : str
         Status line of the failure with which it answers requests that it has run; empty for none.
+    registered_address : str
+        Address in its row, if that is another one than its own.
     announces_leaving : bool
         Whether its answers state that it leaves, whatever its row says.
     limit_per_s : float or None
@@ -76,6 +78,7 @@
     cold_start_s: float = 0.0
     fault: str = ""
     error_status: str = ""
+    registered_address: str = ""
     announces_leaving: bool = False
     limit_per_s: float | None = None
     pause_s: float = 0.0
@@ -113,7 +116,7 @@
         """Return the value of the server's row in the store, with the next heartbeat number."""
         self.sequence += 1
         return {
-            "address": self.address,
+            "address": self.registered_address or self.address,
             "born": 1,
             "info": {
                 "service": self.service,
--- a/test/endless_server.py
+++ b/test/endless_server.py
@@ -1,7 +1,8 @@
-"""Server that answers one request with bytes that never end, as a process of its own."""
+"""Server that answers requests with bytes that never end, as a process of its own."""
 
 import socket
 import sys
+import threading
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 # What is sent once, and what is then repeated until the caller closes.
@@ -19,12 +20,16 @@
 }
 
 
-def main(kind):
-    """Print the port, and serve one connection until it is closed."""
-    once, repeated = BYTES_BY_KIND[kind]
-    with socket.create_server(("127.0.0.1", 0)) as listener:
+def main(kind, connections=1):
+    """Print the port, and serve a number of connections until they are closed."""
+    with socket.create_server(("127.0.0.1", 0), backlog=512) as listener:
         print(listener.getsockname()[1], flush=True)
-        sock, _ = listener.accept()
+        for _ in range(connections):
+            sock, _ = listener.accept()
+            threading.Thread(target=_serve, args=(sock, *BYTES_BY_KIND[kind])).start()
+
+
+def _serve(sock, once, repeated):
     try:
         sock.recv(65536)
         sock.sendall(once)
@@ -32,8 +37,8 @@
             sock.sendall(repeated)
     except OSError:
         # The caller has closed the connection.
-        return
+        sock.close()
 
 
 if __name__ == "__main__":
-    main(sys.argv[1])
+    main(sys.argv[1], *map(int, sys.argv[2:]))
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -305,6 +305,7 @@
         server_read_interval_s=1.0,
         configuration_wait_s=3.0,
         stop_grace_s=6.0,
+        memory_mb=300.0,
         lookup_ttl_s=2.0,
         retry_ratio=0.2,
         retry_window_s=10.0,
