Read the store's and the probes' answers with limits, and let others run meanwhile

Callers saw: nothing yet; the same cause elsewhere. Interim answers or trailers without end, from the store or from a server that is probed (the first form's health check), were read for ever: the library yields only while no data are available, so that no other green thread of the process ran, and not the one that enforces the time limit either. All requests of the entry stood still.

Cause: only the connections to servers had a socket that yields and counts. It is a part of the connection now, which all three kinds of clients use.

--- /dev/null
+++ b/figfold/entry/answer_connection.py
@@ -0,0 +1,148 @@
+"""Connections to HTTP servers whose answers are limited in size and must have a complete head."""
+
+import errno
+import socket
+from http.client import HTTPException, HTTPResponse
+
+import eventlet
+from eventlet.greenio import GreenSocket
+from urllib3.connection import HTTPConnection
+
+# The most bytes that are read up to the end of an answer's head, with interim answers.
+HEAD_LIMIT_BYTES = 256 * 1024
+# Bytes read from one socket after which other green threads may run.
+YIELD_BYTES = 256 * 1024
+
+
+class YieldingSocket(GreenSocket):
+    """A green socket that lets other green threads run while data keep arriving.
+
+    The library yields only while no data are available, so that a peer that sends without end would
+    block the whole process.
+    """
+
+    _unyielded_bytes = 0
+
+    def _recv_loop(self, recv_meth, empty_val, *args):
+        received = super()._recv_loop(recv_meth, empty_val, *args)
+        size = received if isinstance(received, int) else len(received)
+        self.count(size)
+        self._unyielded_bytes += size
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            eventlet.sleep(0)
+        return received
+
+    def count(self, size):
+        """Count the bytes that were read; called for each read."""
+
+
+class AnswerSocket(YieldingSocket):
+    """A green socket for reading an answer, with a limit on its size.
+
+    The library's own class returns no bytes when the connection was reset, which would look like
+    the end of an answer without a length; this one raises an error.
+
+    Attributes
+    ----------
+    allowed_bytes : int
+        Number of bytes that may still be read; more are an error.
+    """
+
+    allowed_bytes = HEAD_LIMIT_BYTES
+
+    def _recv_loop(self, recv_meth, empty_val, *args):
+        def receive(*arguments):
+            try:
+                return recv_meth(*arguments)
+            except (ConnectionResetError, BrokenPipeError) as error:
+                raise ConnectionAbortedError(errno.ECONNABORTED, "connection reset") from error
+
+        return super()._recv_loop(receive, empty_val, *args)
+
+    def count(self, size):
+        """Use up the limit.
+
+        Raises
+        ------
+        ValueError
+            If the answer is larger than allowed.
+        """
+        self.allowed_bytes -= size
+        if self.allowed_bytes < 0:
+            raise ValueError("answer is too large")
+
+
+class IncompleteHeadError(HTTPException):
+    """An answer ended within its head."""
+
+
+class _HeadLines:
+    """Lines of an answer's head; one that is cut short raises `IncompleteHeadError`.
+
+    The library takes the end of the connection for the end of the head, so that an answer of which
+    the length is missing would pass for one with an empty body.
+    """
+
+    def __init__(self, file):
+        self._file = file
+        self._has_read = False
+
+    def readline(self, limit):
+        line = self._file.readline(limit)
+        # Nothing at all is a closed connection, which the library tells apart.
+        if (line or self._has_read) and len(line) < limit and not line.endswith(b"\n"):
+            raise IncompleteHeadError(f"the answer ended within its head: {line[:40]!r}")
+        self._has_read = True
+        return line
+
+    def close(self):
+        self._file.close()
+
+
+class _Response(HTTPResponse):
+    """Response whose head has to be complete."""
+
+    def begin(self):
+        file, self.fp = self.fp, _HeadLines(self.fp)
+        try:
+            super().begin()
+        finally:
+            # The library drops the file when it closes the connection.
+            if self.fp is not None:
+                self.fp = file
+
+
+class AnswerConnection(HTTPConnection):
+    """Connection whose answers are limited in size.
+
+    Attributes
+    ----------
+    answer_limit_bytes : int
+        Limit on the bytes of each answer, its head included.
+    number : int
+        Number of the connection among those opened by the process; 0 if they are not counted.
+    """
+
+    response_class = _Response
+    answer_limit_bytes = HEAD_LIMIT_BYTES
+    number = 0
+
+    def connect(self):
+        """Open the connection."""
+        super().connect()
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # The library creates the socket itself and offers no way to choose its class. Without
+        # eventlet's patches it is an ordinary one, and blocks no other thread.
+        if isinstance(self.sock, GreenSocket):
+            self.sock.__class__ = AnswerSocket
+        self._allow_answer()
+
+    def putrequest(self, *args, **kwargs):
+        """Begin a request, whose answer has the whole limit again."""
+        self._allow_answer()
+        return super().putrequest(*args, **kwargs)
+
+    def _allow_answer(self):
+        if isinstance(self.sock, AnswerSocket):
+            self.sock.allowed_bytes = self.answer_limit_bytes
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -5,23 +5,19 @@
 cause may have broken all of them.
 """
 
-import errno
 import re
-import socket
 from collections import deque
 from collections.abc import Callable
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 from math import inf
 
-import eventlet
 from attrs import Factory, define, frozen
 from eventlet import Timeout
-from eventlet.greenio import GreenSocket
 from result import Err, Ok
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, IncompleteRead
 
 from figfold.core.codes import Code
+from figfold.entry.answer_connection import AnswerConnection, IncompleteHeadError
 from figfold.entry.answer_memory import AnswerMemory, AnswerMemoryError, HeldMemory
 from figfold.entry.clock import MS_PER_S, now_s
 from figfold.entry.request_types import ServerAnswer
@@ -37,12 +33,8 @@
 UNSIZED_ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 # An answer that was read in parts is held twice while they are joined.
 COPIES = 2
-# The most bytes that are read up to the end of an answer's head, with interim answers.
-HEAD_LIMIT_BYTES = 256 * 1024
 # The most bytes that the framing of an unsized answer may add, with its trailers.
 FRAMING_LIMIT_BYTES = 256 * 1024
-# Bytes read from one socket after which other green threads may run.
-YIELD_BYTES = 256 * 1024
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -79,92 +71,9 @@
     connection_number: int = 0
 
 
-class AnswerSocket(GreenSocket):
-    """A green socket for reading an answer, with a limit on its size.
-
-    The library's own class returns no bytes when the connection was reset, which would look like
-    the end of an answer without a length; this one raises an error. The library also does not
-    yield while data are available, so that a server that never stops sending would block the
-    whole process.
-
-    Attributes
-    ----------
-    allowed_bytes : int
-        Number of bytes that may still be read; more are an error.
-    """
-
-    allowed_bytes = HEAD_LIMIT_BYTES
-    _unyielded_bytes = 0
-
-    def _recv_loop(self, recv_meth, empty_val, *args):
-        def receive(*arguments):
-            try:
-                return recv_meth(*arguments)
-            except (ConnectionResetError, BrokenPipeError) as error:
-                raise ConnectionAbortedError(errno.ECONNABORTED, "connection reset") from error
-
-        received = super()._recv_loop(receive, empty_val, *args)
-        self._count(received if isinstance(received, int) else len(received))
-        return received
-
-    def _count(self, size):
-        self.allowed_bytes -= size
-        if self.allowed_bytes < 0:
-            raise ValueError("answer is too large")
-        self._unyielded_bytes += size
-        if self._unyielded_bytes >= YIELD_BYTES:
-            self._unyielded_bytes = 0
-            eventlet.sleep(0)
-
-
-class IncompleteHeadError(HTTPException):
-    """An answer ended within its head."""
-
-
-class _HeadLines:
-    """Lines of an answer's head; one that is cut short raises `IncompleteHeadError`.
-
-    The library takes the end of the connection for the end of the head, so that an answer of which
-    the length is missing would pass for one with an empty body.
-    """
-
-    def __init__(self, file):
-        self._file = file
-        self._has_read = False
-
-    def readline(self, limit):
-        line = self._file.readline(limit)
-        # Nothing at all is a closed connection, which the library tells apart.
-        if (line or self._has_read) and len(line) < limit and not line.endswith(b"\n"):
-            raise IncompleteHeadError(f"the answer ended within its head: {line[:40]!r}")
-        self._has_read = True
-        return line
-
-    def close(self):
-        self._file.close()
-
-
-class _Response(HTTPResponse):
-    """Response whose head has to be complete."""
-
-    def begin(self):
-        file, self.fp = self.fp, _HeadLines(self.fp)
-        try:
-            super().begin()
-        finally:
-            # The library drops the file when it closes the connection.
-            if self.fp is not None:
-                self.fp = file
-
-
-class _Connection(HTTPConnection):
-    response_class = _Response
-    number = 0
-
-
 @frozen
 class _IdleConnection:
-    connection: HTTPConnection
+    connection: AnswerConnection
     since_s: float
     limit_s: float
 
@@ -287,7 +196,6 @@
         headers += self.headers_at_send(name, timeout_s)
         connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
-        connection.sock.allowed_bytes = HEAD_LIMIT_BYTES
         connection.request(
             method,
             target,
@@ -421,13 +329,10 @@
 
 def _open(address, timeout_s):
     host, port = address.rsplit(":", 1)
-    connection = _Connection(host, int(port), timeout=timeout_s)
+    connection = AnswerConnection(host, int(port), timeout=timeout_s)
     try:
         connection.connect()
     except (OSError, HTTPError):
         connection.close()
         return None
-    connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    # The library creates the socket itself and offers no way to choose its class.
-    connection.sock.__class__ = AnswerSocket
     return connection
--- a/figfold/platform/http.py
+++ b/figfold/platform/http.py
@@ -17,13 +17,20 @@
 )
 
 from figfold.core.codes import Code, Failure
+from figfold.entry.answer_connection import AnswerConnection
 from figfold.platform.answers import Answer, bad_answer
 
 ANSWER_LIMIT_BYTES = 8 << 20
+# What the head and the framing of an answer may add.
+FRAMING_LIMIT_BYTES = 512 << 10
 # Fraction of the timeout that opening a connection may take.
 CONNECT_TIMEOUT_FRACTION = 0.5
 
 
+class _StoreConnection(AnswerConnection):
+    answer_limit_bytes = ANSWER_LIMIT_BYTES + FRAMING_LIMIT_BYTES
+
+
 @define(eq=False)
 class StoreHttp:
     """Connection pool for the store; nothing is retried here.
@@ -51,6 +58,7 @@
             retries=False,
             timeout=urllib3.Timeout(connect=timeout_s * CONNECT_TIMEOUT_FRACTION, read=timeout_s),
         )
+        pool.ConnectionCls = _StoreConnection
         return cls(pool, timeout_s, header_by_name)
 
     def close(self):
