--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -2,7 +2,6 @@
 
 import time
 import unittest
-from types import SimpleNamespace
 
 import eventlet
 from eventlet import wsgi
@@ -16,6 +15,7 @@
 from figfold.core.codes import Code
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.entry.metrics import Metrics
+from figfold.entry.request_types import ServerAnswer
 from figfold.gateway.apps import RequestApp
 from figfold.gateway.caller_connection import (
     MAX_OVERLAP,
@@ -66,12 +66,11 @@
                 self.cancelled.append(request.request_id)
                 return Err(RequestFailure(Code.CALLER_GONE, False, "caller-gone"))
             self.ended.append(request.request_id)
-            headers = [("Attempt-Id", request.request_id)]
+            headers = (("Attempt-Id", request.request_id),)
             body = b"x" * self.body_bytes
             rest = self.rest_of.get(request.request_id)
-            answer = {"status": 200, "headers": headers, "body": body, "server": "s"}
             length = len(body) + (100 if rest else 0)
-            return Ok(SimpleNamespace(**answer, rest=rest and rest(), length=length))
+            return Ok(ServerAnswer(200, headers, body, "s", rest and rest(), length))
         except GreenletExit:
             self.cancelled.append(request.request_id)
             raise
