Cut off callers that send without end, and let others run meanwhile

Callers saw: nothing yet; the same cause elsewhere. One caller that sent a chunk size, the bytes after a chunk or a trailer without end took up 1.5 to 2.4 GB of the entry's memory in 5 s, of the 200 MB that the smallest machines have. With trailers, tiny chunks or a refused body without end no other caller got an answer: the library yields only while no data are available.

Cause: lines within a chunked body have no limit in the library, nor has the reading of what is left of a refused body, and the callers' sockets did not yield. Class: memory without a common limit, and reading without an end.

Fix: limits on the lines between chunks and on trailers; a refused body is read on up to 1 MB or 1 s; a body that arrives after its request's time is refused; callers' sockets yield. It holds for both forms and all ports.

--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -11,7 +11,7 @@
 # The most bytes that are read up to the end of an answer's head, with interim answers.
 HEAD_LIMIT_BYTES = 256 * 1024
 # Bytes read from one socket after which other green threads may run.
-YIELD_BYTES = 256 * 1024
+YIELD_BYTES = 64 * 1024
 
 
 class YieldingSocket(GreenSocket):
--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -4,16 +4,23 @@
 from functools import partial
 from socket import SHUT_WR
 
+import eventlet
 from eventlet import Timeout, wsgi
-from eventlet.wsgi import HttpProtocol
+from eventlet.wsgi import ChunkReadError, HttpProtocol, Input
 
 from figfold.core.codes import Code, Outcome
+from figfold.entry.answer_connection import YieldingSocket
 
 # Limit on one header line. The library's default is 8 KiB, although a configuration may allow a
 # longer head; 64 KiB is the library's own limit on all header lines together.
 HEADER_LINE_BYTES = 64 << 10
 # Start of a refusal by the WSGI server, which writes it at once, unlike an application's answer.
 LIBRARY_REFUSAL_PREFIX = b"HTTP/1.0 4"
+# Limits on the line before a chunk of a body, and on all lines after the last chunk.
+CHUNK_LINE_BYTES = 4 << 10
+TRAILER_BYTES = 64 << 10
+# Lines of one body after which other green threads may run.
+YIELD_CHUNK_LINES = 500
 # Limits on reading the rest of a refused request before its connection is closed.
 DRAIN_LIMIT_BYTES = 1 << 20
 DRAIN_LIMIT_S = 1.0
@@ -31,7 +38,7 @@
         metrics.count_code(Code.BAD_REQUEST)
         return _format_refusal(status, reason)
 
-    class CodedRefusalProtocol(HttpProtocol):
+    class CodedRefusalProtocol(_LimitedProtocol):
         """Parses requests; logs nothing, since malformed requests could flood the log."""
 
         def setup(self):
@@ -64,6 +71,73 @@
     return CodedRefusalProtocol
 
 
+class _LimitedProtocol(HttpProtocol):
+    """Limits what is read of a caller who sends without end, and lets others run meanwhile."""
+
+    def setup(self):
+        # The library makes the socket and the body's reader and offers no way to choose classes.
+        self.request.__class__ = YieldingSocket
+        super().setup()
+
+    def get_environ(self):
+        environ = super().get_environ()
+        body = environ["wsgi.input"]
+        body.__class__ = _LimitedInput
+        body.rfile = _ChunkLines(body.rfile)
+        return environ
+
+
+class _ChunkLines:
+    """Wraps the file of a request's body, of which the library reads lines of any length."""
+
+    def __init__(self, file):
+        self._file = file
+        self._lines = 0
+        self.read = file.read
+
+    def readline(self, size=None):
+        """Read a line.
+
+        Raises
+        ------
+        ChunkReadError
+            If the line is too long.
+        """
+        self._lines += 1
+        if self._lines % YIELD_CHUNK_LINES == 0:
+            eventlet.sleep(0)
+        line = self._file.readline(CHUNK_LINE_BYTES if size is None else size)
+        if size is None and len(line) >= CHUNK_LINE_BYTES:
+            raise ChunkReadError("line of a chunk is too long")
+        return line
+
+
+class _LimitedInput(Input):
+    """A request's body, of which no more is read than an application can have asked for."""
+
+    def _discard_trailers(self, rfile):
+        left_bytes = TRAILER_BYTES
+        while (line := rfile.readline()) not in (b"", b"\r\n", b"\n"):
+            left_bytes -= len(line)
+            if left_bytes < 0:
+                raise ChunkReadError("trailers are too long")
+
+    def discard(self, buffer_size=DRAIN_CHUNK_BYTES):
+        """Read what is left of the body, so that the connection can be used again.
+
+        Raises
+        ------
+        ChunkReadError
+            If that is too much or takes too long; the library then closes the connection.
+        """
+        left_bytes = DRAIN_LIMIT_BYTES
+        with Timeout(DRAIN_LIMIT_S, ChunkReadError("the rest of the body takes too long")):
+            while data := self.read(buffer_size):
+                left_bytes -= len(data)
+                if left_bytes < 0:
+                    raise ChunkReadError("the rest of the body is too long")
+
+
 class _RefusalWriter:
     """Wraps a connection's file to replace refusals of the WSGI server by ones with a code."""
 
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -224,14 +224,14 @@
     raw_headers = environ[RAW_HEADERS]
     value_by_name = {name.lower(): value for name, value in raw_headers}
     head = parse_request_headers(lambda name: value_by_name.get(name.lower()))
-    body = read_body(environ, body_limit, memory)
+    # The deadline counts from the arrival of the head; reading the body uses up the caller's time.
+    left_s = DEFAULT_TIMEOUT_S if head.time_left_s is None else head.time_left_s
+    body = read_body(environ, body_limit, memory, started + left_s)
     if isinstance(body, RequestFailure):
         return body
     target = environ[RAW_TARGET]
     method = environ["REQUEST_METHOD"]
     host = value_by_name.get("host", "")
-    # The deadline counts from the arrival of the head; reading the body uses up the caller's time.
-    left_s = DEFAULT_TIMEOUT_S if head.time_left_s is None else head.time_left_s
     return GatewayRequest(
         request_id=head.request_id,
         method=method,
--- a/figfold/gateway/bodies.py
+++ b/figfold/gateway/bodies.py
@@ -3,9 +3,12 @@
 A body is kept until its request has ended, because the request may be sent to a second server.
 """
 
+from math import inf
+
 from attrs import define
 
 from figfold.core.codes import Code
+from figfold.entry.clock import now_s
 from figfold.gateway.requests import RequestFailure
 
 READ_CHUNK_BYTES = 64 << 10
@@ -34,7 +37,7 @@
         self.held_bytes -= size
 
 
-def read_body(environ, limit_bytes, memory):
+def read_body(environ, limit_bytes, memory, deadline_s=inf):
     """Return the body of a WSGI request, or a `RequestFailure`.
 
     The memory of a returned body stays reserved until the caller of this function releases it; that
@@ -46,6 +49,8 @@
     limit_bytes : int
         Largest size of one body.
     memory : BodyMemoryLimiter
+    deadline_s : float
+        When the request's time is over, in monotonic seconds.
     """
     declared = environ.get("CONTENT_LENGTH", "")
     chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
@@ -56,10 +61,10 @@
     if not declared and not chunked:
         return b""
     expected = None if chunked else int(declared)
-    return _read_chunks(environ["wsgi.input"], expected, limit_bytes, memory)
+    return _read_chunks(environ["wsgi.input"], expected, limit_bytes, memory, deadline_s)
 
 
-def _read_chunks(stream, expected, limit_bytes, memory):
+def _read_chunks(stream, expected, limit_bytes, memory, deadline_s):
     chunks, size = [], 0
     failure = None
     try:
@@ -75,6 +80,8 @@
             size += len(chunk)
             if size > limit_bytes:
                 failure = RequestFailure(Code.BODY_TOO_LARGE, True, "body-too-large")
+            elif now_s() > deadline_s:
+                failure = RequestFailure(Code.DEADLINE_PASSED, True, "body-late")
     except (OSError, ValueError):
         failure = RequestFailure(Code.BAD_REQUEST, True, "body-incomplete")
     if failure is None and expected is not None and size < expected:
