End the request whose answer its caller has left behind

If a caller left while the answer to a request that it had sent ahead was being written, the request counted as in progress for good, with its answer in memory, and a stopping entry waited for it.

Cause: the request was no longer among those that are cancelled when the connection ends. Class: memory that nobody releases.

Evidence: the new test failed before (1 request in progress), and passes.

--- a/figfold/gateway/caller_connection.py
+++ b/figfold/gateway/caller_connection.py
@@ -137,15 +137,24 @@
         """Write the answer to the connection's file; return whether the connection ends."""
         protocol = self.protocol
         waiting = protocol.wfile
-        waiting.begin_turn(file)
-        if self.thread is not None:
-            self.thread.wait()
-        elif self.is_parsed:
-            protocol.wfile = file
-            protocol.run_deferred()
+        try:
+            waiting.begin_turn(file)
+            if self.thread is not None:
+                self.thread.wait()
+            elif self.is_parsed:
+                protocol.wfile = file
+                protocol.run_deferred()
+        except BaseException:
+            self.cancel()
+            raise
         file.drains_at_close |= waiting.drains_at_close
         return bool(protocol.close_connection)
 
+    def cancel(self):
+        """End the request, whose answer nobody reads."""
+        if self.thread is not None:
+            self.thread.kill()
+
 
 @define(eq=False)
 class CallerConnection:
@@ -227,9 +236,7 @@
         if thread is not None:
             thread.kill()
         while self._ahead:
-            request = self._ahead.popleft()
-            if request.thread is not None:
-                request.thread.kill()
+            self._ahead.popleft().cancel()
 
     def _watch_socket(self):
         try:
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -1,5 +1,7 @@
 """Callers that send further requests before the first is answered, against the WSGI server."""
 
+import socket
+import struct
 import time
 import unittest
 
@@ -26,6 +28,7 @@
 from figfold.gateway.requests import RequestFailure
 
 SHORT_S = 0.05
+SMALL_BUFFER_BYTES = 8192
 LONG_S = 0.4
 # Time after the close of a connection in which its requests end.
 CLOSE_S = 0.5
@@ -48,6 +51,7 @@
             lambda _host, path: self.stage == "serving" and path.startswith("/read/"),
         )
         listener = eventlet.listen(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
         self.address = listener.getsockname()
         options = {"log_output": False, "debug": False, "socket_timeout": 5.0, "keepalive": True}
         server = eventlet.spawn(wsgi.server, listener, self.app, protocol=protocol, **options)
@@ -215,6 +219,22 @@
             self.assertLess(len(body), length)
             self.assertNotIn(b"Attempt-Id: c", body)
 
+    # The request of an answer that could not be written, since its caller had left, counted as in
+    # progress for good, with its answer in memory.
+    def test_nothing_is_kept_for_a_caller_that_has_left(self):
+        self.body_bytes = MAX_WAITING_ANSWER_BYTES // 2
+        sock = green_socket.socket()
+        # The answer to the second request does not fit into the buffers of the system.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        sock.connect(self.address)
+        sock.sendall(get("a", SHORT_S) + get("b", SHORT_S) + get("c", SHORT_S))
+        self.assertEqual(self.read_answers(sock, 1)[0], ["a"])
+        eventlet.sleep(SHORT_S)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+        eventlet.sleep(CLOSE_S)
+        self.assertEqual(self.app.in_progress, 0)
+
     def test_connection_is_used_on_after_an_overlap(self):
         sock = self.connect()
         for number in range(3):
