Hold request bodies once, within the process's memory

Cause: memory that is counted once and held twice, and a limit that doesn't know the machine. Bodies grow in one buffer and are sent from it, and all have 35 % of the process's memory.

--- a/bench/platform_deployment.py
+++ b/bench/platform_deployment.py
@@ -104,16 +104,16 @@
         self.removed_ids.add(server_id)
         self.rows.remove("servers", server_id)
 
-    def start_entry(self, name, place):
-        """Start an entry and wait until it is ready."""
-        entry = self.start_entry_process(name, place)
+    def start_entry(self, name, place, **options):
+        """Start an entry, with options of its settings, and wait until it is ready."""
+        entry = self.start_entry_process(name, place, **options)
         entry.wait_ready()
         return entry
 
-    def start_entry_process(self, name, place):
+    def start_entry_process(self, name, place, **options):
         """Start an entry without waiting for it."""
         folder = Path(self.folder.name)
-        entry = Entry(name, place, self.store_address, folder, self.region_by_place)
+        entry = Entry(name, place, self.store_address, folder, self.region_by_place, options)
         self.entries.append(entry)
         return entry
 
@@ -148,13 +148,15 @@
 
     PORTS = ("caller", "ready", "lookup", "peer", "metrics")
 
-    def __init__(self, name, place, store_address, folder, region_by_place):
+    def __init__(self, name, place, store_address, folder, region_by_place, options=None):
         self.name = name
         self.place = place
         self.address = {port: self.free_address(port) for port in self.PORTS}
         lines = ["[gateway]", f"name = {name}", f"place = {place}"]
         lines += [f"{port}_address = {address}" for port, address in self.address.items()]
-        lines += [f"store_address = {store_address}", "stop_grace_s = 2", "[log]", "level = INFO"]
+        options = {"store_address": store_address, "stop_grace_s": 2} | (options or {})
+        lines += [f"{option} = {value}" for option, value in options.items()]
+        lines += ["[log]", "level = INFO"]
         for one, region in region_by_place.items():
             lines += [f"[place {one}]", f"region = {region}"]
         self.settings = folder / f"{name}.ini"
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -199,7 +199,8 @@
         connection.request(
             method,
             target,
-            body=body or None,
+            # The library sends what is left of a body as a copy each time, but not of a view.
+            body=memoryview(body) if body else None,
             headers=dict(headers),
             preload_content=False,
             decode_content=False,
--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -10,6 +10,7 @@
 
 from figfold.core.codes import Code, Outcome
 from figfold.entry.answer_connection import YieldingSocket
+from figfold.entry.clock import now_s
 
 # Limit on one header line. The library's default is 8 KiB, although a configuration may allow a
 # longer head; 64 KiB is the library's own limit on all header lines together.
@@ -21,7 +22,11 @@
 TRAILER_BYTES = 64 << 10
 # Lines of one body after which other green threads may run.
 YIELD_CHUNK_LINES = 500
-# Limits on reading the rest of a refused request before its connection is closed.
+# Limits on reading the rest of a body that its application has refused. A caller that is still
+# sending might not see the answer if the connection were closed.
+DISCARD_LIMIT_BYTES = 64 << 20
+DISCARD_LIMIT_S = 30.0
+# Limits on reading the rest of a malformed request before its connection is closed.
 DRAIN_LIMIT_BYTES = 1 << 20
 DRAIN_LIMIT_S = 1.0
 DRAIN_CHUNK_BYTES = 1 << 16
@@ -113,7 +118,16 @@
 
 
 class _LimitedInput(Input):
-    """A request's body, of which no more is read than an application can have asked for."""
+    """A request's body, of which no more is read than an application can have asked for.
+
+    Attributes
+    ----------
+    discard_until_s : float or None
+        When to stop reading what is left of a body that the application did not read to its end, in
+        monotonic seconds; None for `DISCARD_LIMIT_S` from then on.
+    """
+
+    discard_until_s = None
 
     def _discard_trailers(self, rfile):
         left_bytes = TRAILER_BYTES
@@ -123,19 +137,21 @@
                 raise ChunkReadError("trailers are too long")
 
     def discard(self, buffer_size=DRAIN_CHUNK_BYTES):
-        """Read what is left of the body, so that the connection can be used again.
+        """Read what is left of the body, so that its caller gets the answer.
 
         Raises
         ------
         ChunkReadError
             If that is too much or takes too long; the library then closes the connection.
         """
-        left_bytes = DRAIN_LIMIT_BYTES
-        with Timeout(DRAIN_LIMIT_S, ChunkReadError("the rest of the body takes too long")):
+        now = now_s()
+        until_s = now + DISCARD_LIMIT_S if self.discard_until_s is None else self.discard_until_s
+        left_bytes = DISCARD_LIMIT_BYTES
+        with Timeout(max(0.0, until_s - now), ChunkReadError("the rest of a body takes too long")):
             while data := self.read(buffer_size):
                 left_bytes -= len(data)
                 if left_bytes < 0:
-                    raise ChunkReadError("the rest of the body is too long")
+                    raise ChunkReadError("the rest of a body is too long")
 
 
 class _RefusalWriter:
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -226,6 +226,7 @@
     head = parse_request_headers(lambda name: value_by_name.get(name.lower()))
     # The deadline counts from the arrival of the head; reading the body uses up the caller's time.
     left_s = DEFAULT_TIMEOUT_S if head.time_left_s is None else head.time_left_s
+    environ["wsgi.input"].discard_until_s = started + left_s
     body = read_body(environ, body_limit, memory, started + left_s)
     if isinstance(body, RequestFailure):
         return body
--- a/figfold/gateway/bodies.py
+++ b/figfold/gateway/bodies.py
@@ -12,7 +12,7 @@
 from figfold.gateway.requests import RequestFailure
 
 READ_CHUNK_BYTES = 64 << 10
-# The smallest instances leave 300 MB to an entry, of which an idle process takes up 50 MB.
+# Used where the settings give no other limit.
 BODY_MEMORY_BYTES = 128 << 20
 # A body for which there is no memory now may fit once other requests have ended.
 NO_MEMORY_RETRY_AFTER_S = 1.0
@@ -38,7 +38,7 @@
 
 
 def read_body(environ, limit_bytes, memory, deadline_s=inf):
-    """Return the body of a WSGI request, or a `RequestFailure`.
+    """Return the body of a WSGI request as bytes or a bytearray, or a `RequestFailure`.
 
     The memory of a returned body stays reserved until the caller of this function releases it; that
     of a refused body is released here.
@@ -65,28 +65,30 @@
 
 
 def _read_chunks(stream, expected, limit_bytes, memory, deadline_s):
-    chunks, size = [], 0
+    # Joining chunks would hold the body twice.
+    body = bytearray()
     failure = None
     try:
-        while failure is None and size != expected:
-            count = READ_CHUNK_BYTES if expected is None else min(READ_CHUNK_BYTES, expected - size)
+        while failure is None and len(body) != expected:
+            count = READ_CHUNK_BYTES
+            if expected is not None:
+                count = min(count, expected - len(body))
             chunk = stream.read(count)
             if not chunk:
                 break
             if not memory.try_reserve(len(chunk)):
                 failure = RequestFailure(Code.NO_MEMORY, True, "no-memory", NO_MEMORY_RETRY_AFTER_S)
                 break
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit_bytes:
+            body += chunk
+            if len(body) > limit_bytes:
                 failure = RequestFailure(Code.BODY_TOO_LARGE, True, "body-too-large")
             elif now_s() > deadline_s:
                 failure = RequestFailure(Code.DEADLINE_PASSED, True, "body-late")
     except (OSError, ValueError):
         failure = RequestFailure(Code.BAD_REQUEST, True, "body-incomplete")
-    if failure is None and expected is not None and size < expected:
+    if failure is None and expected is not None and len(body) < expected:
         failure = RequestFailure(Code.BAD_REQUEST, True, "body-incomplete")
     if failure is not None:
-        memory.release(size)
+        memory.release(len(body))
         return failure
-    return b"".join(chunks)
+    return body
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -32,6 +32,7 @@
     ReadyApp,
     RequestApp,
 )
+from figfold.gateway.bodies import BodyMemoryLimiter
 from figfold.gateway.cluster_view import ClusterView
 from figfold.gateway.entry_prober import EntryProber
 from figfold.gateway.listener import StoppableListener
@@ -53,8 +54,10 @@
 # Longer than the longest idle time that a configuration may set for callers.
 CALLER_SOCKET_TIMEOUT_S = 120.0
 ANSWER_BUFFER_BYTES = 1 << 20
-# Fraction of the process's memory that all answers of backend servers may take up together.
+# Fractions of the process's memory that all answers of backend servers, and all bodies of callers'
+# requests, may take up together.
 ANSWER_MEMORY_FRACTION = 0.2
+BODY_MEMORY_FRACTION = 0.35
 BYTES_PER_MB = 1 << 20
 IDLE_CONNECTION_S = 30.0
 IDLE_SWEEP_INTERVAL_S = 5.0
@@ -227,7 +230,7 @@
         self.connections = Connections(
             IDLE_CONNECTION_S,
             ANSWER_BUFFER_BYTES,
-            AnswerMemory(int(ANSWER_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB)),
+            AnswerMemory(_memory_bytes(settings, ANSWER_MEMORY_FRACTION)),
             headers_at_send=server_headers,
             allows_reuse=names_its_request,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -265,6 +268,7 @@
             log=self.log,
             limits=self._limits,
             knowledge=self.cluster.knowledge,
+            body_memory=BodyMemoryLimiter(_memory_bytes(settings, BODY_MEMORY_FRACTION)),
         )
 
     # Running.
@@ -465,3 +469,7 @@
                 ("log_lines_dropped", {}, self.event_log.total_dropped),
             )
         )
+
+
+def _memory_bytes(settings, fraction):
+    return int(fraction * settings.memory_mb * BYTES_PER_MB)
--- a/figfold/gateway/requests.py
+++ b/figfold/gateway/requests.py
@@ -16,6 +16,7 @@
     ----------
     arrived_s, caller_deadline_s : float
         When its head was read, and when the caller gives up, in monotonic seconds.
+    body : bytes or bytearray
     key : str
         Object that the request concerns, or an empty string.
     fingerprint : str
