--- a/figfold/gateway/main.py
+++ b/figfold/gateway/main.py
@@ -25,13 +25,17 @@
 from figfold.gateway.reload import CHECK_INTERVAL_S, SettingsReloader  # noqa: E402
 
 SETTINGS_VARIABLE = "FIGFOLD_BOOT"
+# Overrides the option `memory_mb`, for a platform that limits the memory of each process.
+MEMORY_VARIABLE = "FIGFOLD_MEMORY_MB"
 EXIT_BAD_SETTINGS = 2
 
 
 def main():
     """Run an entry until SIGTERM or SIGINT."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
-    loaded = load_gateway_settings(path)
+    memory_mb = os.environ.get(MEMORY_VARIABLE, "")
+    overrides = (f"gateway.memory_mb={memory_mb}",) if memory_mb else ()
+    loaded = load_gateway_settings(path, overrides)
     if loaded.is_err():
         for failure in loaded.err():
             print(f"figfoldd: {failure}", file=sys.stderr)
@@ -48,7 +52,7 @@
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    reloader = SettingsReloader.from_config(path, process, logger)
+    reloader = SettingsReloader.from_config(path, process, logger, overrides)
     signal.signal(
         signal.SIGHUP, lambda _number, _frame: eventlet.spawn_n(reloader.reload, "signal")
     )
--- a/figfold/gateway/reload.py
+++ b/figfold/gateway/reload.py
@@ -11,17 +11,24 @@
 
 @define(eq=False)
 class SettingsReloader:
-    """Watches the settings file of a process and puts changes in force."""
+    """Watches the settings file of a process and puts changes in force.
+
+    Attributes
+    ----------
+    overrides : tuple of str
+        Options in the form ``SECTION.OPTION=VALUE``, which take precedence over the file.
+    """
 
     path: str
     process: object
     log: object
+    overrides: tuple = ()
     _loaded_stamp: tuple = ()
 
     @classmethod
-    def from_config(cls, path, process, log):
+    def from_config(cls, path, process, log, overrides=()):
         """Return a reloader that counts the current file as loaded."""
-        return cls(path, process, log, _file_stamp(path))
+        return cls(path, process, log, overrides, _file_stamp(path))
 
     def check(self):
         """Reload the settings if the file has changed since the last load."""
@@ -32,7 +39,7 @@
     def reload(self, why):
         """Load the file and put all of it in force, or nothing; return whether it is in force."""
         self._loaded_stamp = _file_stamp(self.path)
-        loaded = load_gateway_settings(self.path)
+        loaded = load_gateway_settings(self.path, self.overrides)
         if loaded.is_err():
             reasons = [str(failure) for failure in loaded.err()]
             self.log.bind(why=why, reasons=reasons).warning("reload-refused")
