Refuse requests whose end is not certain

Cause: figfold and the library below it each read the field in a way of their own: one looked for the word, the other for exactly "chunked". The library also takes folded lines, a bare CR, and what follows a line without a colon.

Fix: one place decides by RFC 9112, 5 and 6, on the lines as they were sent: malformed lines, several lengths, a length beside a coding, codings in HTTP/1.0: 400; unknown codings: 501; the connection ends. White space around a figure is allowed. It holds for both forms and all ports; answers of servers whose end isn't certain are not passed on.

--- /dev/null
+++ b/figfold/core/http_framing.py
@@ -0,0 +1,68 @@
+"""Rules by which the end of an HTTP message is found (RFC 9112, 5 and 6).
+
+What two recipients frame differently can hide a request within the body of another one, so that
+whatever is not framed for certain is refused.
+"""
+
+import re
+
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_IMPLEMENTED = 501
+CHUNKED = "chunked"
+# A name, a colon and a value without control characters other than tabs.
+FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n")
+LENGTH = re.compile("[0-9]+")
+WHITE_SPACE = " \t"
+# From this version on, a message may have a transfer coding.
+FIRST_VERSION_WITH_CODINGS = "HTTP/1.1"
+
+
+def is_field_line(line):
+    """Return whether the bytes are one line of a head that all recipients read alike.
+
+    Lines that are folded, have no colon or have white space before it are not.
+    """
+    return FIELD_LINE.fullmatch(line) is not None
+
+
+def find_framing_fault(version, codings, lengths):
+    """Return why the end of a request cannot be found for certain, or None.
+
+    Parameters
+    ----------
+    version : str
+        As in the request line, such as ``HTTP/1.1``.
+    codings, lengths : list[str]
+        Values of all lines ``Transfer-Encoding`` and ``Content-Length``.
+
+    Returns
+    -------
+    tuple[int, str] or None
+        Status and reason of the refusal.
+    """
+    if len(lengths) > 1:
+        return HTTP_BAD_REQUEST, "more than one Content-Length"
+    if any(not LENGTH.fullmatch(one.strip(WHITE_SPACE)) for one in lengths):
+        return HTTP_BAD_REQUEST, "Content-Length is no number"
+    if not codings:
+        return None
+    if lengths:
+        return HTTP_BAD_REQUEST, "Content-Length and Transfer-Encoding"
+    if version < FIRST_VERSION_WITH_CODINGS:
+        return HTTP_BAD_REQUEST, f"Transfer-Encoding in {version}"
+    names = [one.strip(WHITE_SPACE).lower() for line in codings for one in line.split(",")]
+    if names == [CHUNKED]:
+        return None
+    if names[-1] != CHUNKED or names.count(CHUNKED) > 1:
+        return HTTP_BAD_REQUEST, "the body does not end with its last chunk"
+    return HTTP_NOT_IMPLEMENTED, "transfer coding is not known"
+
+
+def is_answer_framed(codings, lengths):
+    """Return whether the end of an answer can be found for certain.
+
+    An answer without either field ends with its connection. A length beside chunks does not count.
+    """
+    if codings:
+        return [one.strip(WHITE_SPACE).lower() for one in codings] == [CHUNKED]
+    return len(set(lengths)) <= 1
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -17,6 +17,7 @@
 from urllib3.exceptions import HTTPError, IncompleteRead
 
 from figfold.core.codes import Code
+from figfold.core.http_framing import is_answer_framed
 from figfold.entry.answer_connection import AnswerConnection, IncompleteHeadError
 from figfold.entry.answer_memory import AnswerMemory, AnswerMemoryError, HeldMemory
 from figfold.entry.clock import MS_PER_S, now_s
@@ -35,6 +36,7 @@
 COPIES = 2
 # The most bytes that the framing of an unsized answer may add, with its trailers.
 FRAMING_LIMIT_BYTES = 256 * 1024
+FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -207,6 +209,9 @@
         )
         sock = connection.sock
         response = connection.getresponse()
+        codings, lengths = (response.headers.getlist(name) for name in FRAMING_FIELDS)
+        if not is_answer_framed(codings, lengths):
+            raise ValueError("the end of the answer is not certain")
         length = _content_length(response)
         # A sized answer is streamed to the caller and needs no limit.
         sock.allowed_bytes = (
--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -9,6 +9,12 @@
 from eventlet.wsgi import ChunkReadError, HttpProtocol, Input
 
 from figfold.core.codes import Code, Outcome
+from figfold.core.http_framing import (
+    HTTP_BAD_REQUEST,
+    WHITE_SPACE,
+    find_framing_fault,
+    is_field_line,
+)
 from figfold.entry.answer_connection import YieldingSocket
 from figfold.entry.clock import now_s
 
@@ -17,6 +23,7 @@
 HEADER_LINE_BYTES = 64 << 10
 # Start of a refusal by the WSGI server, which writes it at once, unlike an application's answer.
 LIBRARY_REFUSAL_PREFIX = b"HTTP/1.0 4"
+FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
 # Limits on the line before a chunk of a body, and on all lines after the last chunk.
 CHUNK_LINE_BYTES = 4 << 10
 TRAILER_BYTES = 64 << 10
@@ -57,15 +64,6 @@
                 _drain(self.connection, self.wfile)
             super().finish()
 
-        def parse_request(self):
-            if not super().parse_request():
-                return False
-            if len(self.headers.get_all("Content-Length", ())) > 1:
-                # A peer that uses the other length would take part of the body for a request.
-                self.send_error(400, "more than one Content-Length")
-                return False
-            return True
-
         def send_error(self, code, message=None, explain=None):
             self.close_connection = True
             self.wfile.write_refusal(refuse(int(code), message or "malformed request"))
@@ -84,6 +82,25 @@
         self.request.__class__ = YieldingSocket
         super().setup()
 
+    def parse_request(self):
+        lines = self.rfile = _FieldLines(self.rfile)
+        if not super().parse_request():
+            return False
+        fault = find_framing_fault(
+            self.request_version,
+            self.headers.get_all("Transfer-Encoding", ()),
+            self.headers.get_all("Content-Length", ()),
+        )
+        if not lines.are_valid:
+            fault = HTTP_BAD_REQUEST, "malformed header line"
+        if fault is not None:
+            self.send_error(*fault)
+            return False
+        for name in FRAMING_FIELDS:
+            if name in self.headers:
+                self.headers.replace_header(name, self.headers[name].strip(WHITE_SPACE))
+        return True
+
     def get_environ(self):
         environ = super().get_environ()
         body = environ["wsgi.input"]
@@ -92,6 +109,21 @@
         return environ
 
 
+class _FieldLines:
+    """Wraps the file of a request's head, of which the library accepts malformed lines."""
+
+    def __init__(self, file):
+        self._file = file
+        self.are_valid = True
+
+    def readline(self, size=-1):
+        """Read a line of the head, the empty one included."""
+        line = self._file.readline(size)
+        if line not in (b"", b"\r\n", b"\n") and not is_field_line(line):
+            self.are_valid = False
+        return line
+
+
 class _ChunkLines:
     """Wraps the file of a request's body, of which the library reads lines of any length."""
 
--- /dev/null
+++ b/test/test_http_framing.py
@@ -0,0 +1,156 @@
+"""Requests whose end is not certain are refused by the WSGI server, all others arrive unchanged."""
+
+import unittest
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket as green_socket
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from loguru import logger
+from result import Err
+
+from figfold.core.codes import Code
+from figfold.core.http_framing import is_answer_framed, is_field_line
+from figfold.core.traffic.configuration import CallerLimits
+from figfold.entry.metrics import Metrics
+from figfold.gateway.apps import RequestApp
+from figfold.gateway.protocol import make_gateway_protocol
+from figfold.gateway.requests import RequestFailure
+
+ANSWER_S = 5.0
+INNER = b"POST /book/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: inner\r\nContent-Length: 0\r\n\r\n"
+LAST = b"GET /read/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: last\r\nConnection: close\r\n\r\n"
+CODINGS = st.sampled_from(
+    ("chunked", "Chunked", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "")
+    + ("xchunked", '"chunked"', "chunked;q=1", ",chunked", "chunked,", "\x0bchunked", "gzip")
+)
+LENGTHS = st.sampled_from(
+    (f"{len(INNER)}", "0", "5", "+5", "-1", "5, 5", "0x5", "5 5", "", "\u00b2", "1e1", "5;")
+)
+NAMES = st.sampled_from(("{}:", "{} :", " {}:", "{}", "{}\x00:", "X-A: b\r{}:", "X-A: b\r\n {}:"))
+WHITE_SPACE = st.sampled_from(("", " ", "\t", "  "))
+
+
+@st.composite
+def field_lines(draw):
+    """Draw lines with the two fields that frame a body, most of them malformed."""
+    lines = []
+    for name, values in (("Transfer-Encoding", CODINGS), ("Content-Length", LENGTHS)):
+        for _ in range(draw(st.integers(0, 2))):
+            name_form = draw(st.just("{}:") | NAMES)
+            cased = draw(st.sampled_from((name, name.lower(), name.upper())))
+            value = draw(WHITE_SPACE) + draw(values) + draw(WHITE_SPACE)
+            lines.append(name_form.format(cased) + value)
+    return draw(st.permutations(lines))
+
+
+class RequestFramingTest(unittest.TestCase):
+    def setUp(self):
+        logger.remove()
+        metrics = Metrics()
+        app = RequestApp(self.serve, lambda: "serving", metrics, logger, CallerLimits)
+        protocol = make_gateway_protocol(metrics, CallerLimits, lambda _host, _path: False)
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = listener.getsockname()
+        options = {"log_output": False, "debug": False, "socket_timeout": 0.2, "keepalive": True}
+        server = eventlet.spawn(wsgi.server, listener, app, protocol=protocol, **options)
+        self.addCleanup(server.kill)
+        self.requests = []
+
+    def serve(self, request, _watch):
+        self.requests.append((request.request_id, bytes(request.body)))
+        return Err(RequestFailure(Code.NO_SERVER, True, "no-server"))
+
+    def send(self, lines, body):
+        """Send a booking with the lines and the body, and a read behind it; return the answers."""
+        self.requests.clear()
+        head = "".join(f"{line}\r\n" for line in ("Host: h", "Attempt-Id: outer", *lines))
+        data = b"POST /book/1 HTTP/1.1\r\n" + head.encode("latin-1") + b"\r\n" + body + LAST
+        received = b""
+        with green_socket.create_connection(self.address) as sock:
+            sock.sendall(data)
+            with eventlet.Timeout(ANSWER_S):
+                try:
+                    while part := sock.recv(65536):
+                        received += part
+                except ConnectionResetError:
+                    pass
+        return received
+
+    # A body with another transfer coding was dropped, and the request ran without it; what was in
+    # the body ran as a request of its own (UNASKED).
+    @settings(max_examples=400)
+    @given(field_lines(), st.booleans())
+    @example(["Transfer-Encoding: gzip, chunked"], False)
+    @example(["Transfer-Encoding: gzip, chunked"], True)
+    @example(["Transfer-Encoding: chunked", "Transfer-Encoding: chunked"], True)
+    @example(["Transfer-Encoding: identity"], False)
+    @example(["X-A: b", "no colon"], False)
+    def test_no_body_is_dropped_or_taken_for_a_request(self, lines, is_chunked):
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(INNER), INNER) if is_chunked else INNER
+        answers = self.send(lines, body)
+        whole = {("outer", INNER), ("last", b"")}
+        if self.requests:
+            proper = (
+                ["Transfer-Encoding:chunked"] if is_chunked else [f"Content-Length:{len(INNER)}"]
+            )
+            sent = ["".join(line.split()).lower() for line in lines]
+            if sent == [one.lower() for one in proper]:
+                self.assertEqual(set(self.requests), whole)
+            else:
+                # No length or another one, which is a proper request by itself.
+                (length,) = [int(line.partition(":")[2]) for line in lines] or (0,)
+                self.assertEqual(self.requests[0], ("outer", (body + LAST)[:length]))
+        else:
+            self.assertIn(answers.split()[1], (b"400", b"501"))
+            self.assertEqual(answers.count(b"HTTP/1.1 "), 1)
+
+    def test_proper_bodies_arrive_unchanged(self):
+        chunks = b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nTrailer: z\r\n\r\n"
+        for lines, body in (
+            (["Transfer-Encoding: chunked"], chunks),
+            (["transfer-encoding:\tChunked "], chunks),
+            (["Content-Length: 5"], b"abcde"),
+            (["content-length:5 \t"], b"abcde"),
+        ):
+            with self.subTest(lines=lines):
+                self.send(lines, body)
+                self.assertEqual(self.requests, [("outer", b"abcde"), ("last", b"")])
+
+    def test_request_without_a_body_ends_with_its_head(self):
+        self.send([], b"")
+        self.assertEqual(self.requests, [("outer", b""), ("last", b"")])
+
+    def test_unknown_coding_is_not_implemented(self):
+        answers = self.send(["Transfer-Encoding: gzip, chunked"], b"0\r\n\r\n")
+        self.assertTrue(answers.startswith(b"HTTP/1.1 501 "), answers)
+        self.assertIn(b"Connection: close", answers)
+
+    @given(st.binary(max_size=12))
+    def test_field_line_is_what_the_library_reads_as_one_line(self, data):
+        line = b"X" + data + b"\n"
+        if is_field_line(line):
+            self.assertEqual(len(line.decode("latin-1").splitlines()), 1 + line.count(b"\x85"))
+            self.assertIn(b":", line)
+
+
+class AnswerFramingTest(unittest.TestCase):
+    def test_answers(self):
+        for codings, lengths, expected in (
+            ([], [], True),
+            ([], ["5"], True),
+            ([], ["5", "5"], True),
+            ([], ["5", "6"], False),
+            (["chunked"], ["5"], True),
+            (["Chunked "], [], True),
+            (["gzip, chunked"], [], False),
+            (["chunked", "chunked"], [], False),
+            (["identity"], ["5"], False),
+        ):
+            with self.subTest(codings=codings, lengths=lengths):
+                self.assertEqual(is_answer_framed(codings, lengths), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
