Doubt a row that may have been the last one before its removal

Cause: a heartbeat that got no answer was performed 3.6 s after the removal. The entry had read the row before it within 3 s of the removal, and so took the next count for one of a server that is back. By the server's count it may have been written before the removal.

Fix: such a row is in doubt like one after missed rows, and the server is used again from its second row on. The new test failed before.

--- a/bench/day_store.py
+++ b/bench/day_store.py
@@ -15,6 +15,9 @@
 from standins.rows import RowTables
 
 CALL_TIMEOUT_S = 5.0
+# Time without a new row after which the store removes that of a server, and how often it looks.
+SERVER_ROW_S = 4.5
+EXPIRY_INTERVAL_S = 0.25
 FOREVER_S = 3600.0
 
 
@@ -83,6 +86,21 @@
             if self.random.random() < share:
                 connection.is_silent = True
 
+    def expire_servers(self):
+        """Remove the rows of servers that have written none for three heartbeats."""
+        written_by_key = {}
+        while True:
+            eventlet.sleep(EXPIRY_INTERVAL_S)
+            at_s = now_s()
+            for (table, key), row in list(self.tables.row_by_key.items()):
+                version, since_s = written_by_key.get(key, (0, at_s))
+                if table != "servers":
+                    continue
+                if version != row["ver"]:
+                    written_by_key[key] = row["ver"], at_s
+                elif at_s - since_s > SERVER_ROW_S:
+                    self.tables.remove(table, key)
+
     def _accept(self, listener, entry):
         while True:
             sock, _ = listener.accept()
--- a/bench/real_day.py
+++ b/bench/real_day.py
@@ -107,6 +107,7 @@
         """Play the day."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store = DayStore(random.Random(self.random.random()))
+        eventlet.spawn_n(self.store.expire_servers)
         self._operator = StoreCaller(self.store.open_port(""))
         for kind in KINDS:
             self._routes[kind["name"]] = self._route(kind, SERVICE_BY_KIND[kind["name"]])
--- a/figfold/core/traffic/removals.py
+++ b/figfold/core/traffic/removals.py
@@ -6,8 +6,10 @@
 
 # Removed servers that are remembered.
 MAX_REMEMBERED_REMOVALS = 500
-# Two heartbeats. With a row that was read longer before the removal, others may have been missed.
-LAST_ROW_AGE_S = 3.0
+# Usual time between two rows of a server.
+HEARTBEAT_S = 1.5
+# With a row that was read longer before the removal, others may have been missed.
+LAST_ROW_AGE_S = 2 * HEARTBEAT_S
 
 
 @frozen
@@ -86,6 +88,10 @@
         if not self.is_return(record):
             return False
         removal = self._removal_by_id[record.id]
+        last = removal.last_record
+        if None in (record.sequence, last.sequence):
+            return False
         missed_s = removal.removed_s - removal.last_seen_s
-        is_counted = None not in (record.sequence, removal.last_record.sequence)
-        return is_counted and missed_s > LAST_ROW_AGE_S
+        # The rows that the server may have written between its last known one and the removal.
+        most_rows = missed_s / HEARTBEAT_S + 1
+        return missed_s > LAST_ROW_AGE_S or record.sequence - last.sequence <= most_rows
--- a/test/test_traffic_fleet.py
+++ b/test/test_traffic_fleet.py
@@ -250,6 +250,17 @@
         self.assertTrue(self.apply(fleet, 10, 7, 7.5))
         self.assertTrue(fleet.accepts_requests("s0"))
 
+    # The last heartbeat before the removal got no answer, and was performed after it. All others
+    # had been read, so that it was taken for the row of a server that is back (DRAIN).
+    def test_late_heartbeat_that_follows_the_last_row_does_not_bring_back_its_server(self):
+        fleet = make_fleet()
+        self.apply(fleet, 5, 7, 2.0)
+        fleet.apply_removal("s0", 4.2, False, 8)
+        self.apply(fleet, 9, 8, 8.0)
+        self.assertFalse(fleet.accepts_requests("s0"))
+        self.assertTrue(self.apply(fleet, 10, 9, 9.5))
+        self.assertTrue(fleet.accepts_requests("s0"))
+
     def test_server_whose_last_rows_were_missed_is_used_again_if_its_row_stays(self):
         fleet = make_fleet()
         self.apply(fleet, 5, 2)
