Route and pass on a target as it was sent

Cause: the library joins several slashes at the beginning of a path to one before figfold looks at it. The target is taken from the request line now, in one place, for the route, the forwarded line and the identity of the request.

--- a/figfold/gateway/protocol.py
+++ b/figfold/gateway/protocol.py
@@ -127,6 +127,9 @@
 
     def parse_request(self):
         is_read = super().parse_request()
+        if is_read:
+            # The library has replaced several slashes at the beginning by one.
+            self.path = self.requestline.split()[1]
         self.connection.settimeout(self.limits().idle_timeout_s)
         return is_read
 
--- a/test/test_http_framing.py
+++ b/test/test_http_framing.py
@@ -19,6 +19,19 @@
 from figfold.gateway.requests import RequestFailure
 
 ANSWER_S = 5.0
+TARGETS = (
+    "/a",
+    "//a/b",
+    "///",
+    "/a//b",
+    "/a/../b/./c",
+    "/%2Fa/%2e%2E/%zz",
+    "/a;b=c",
+    "/a?",
+    "//a?b=//c?d",
+    "http://h/a",
+    "*",
+)
 INNER = b"POST /book/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: inner\r\nContent-Length: 0\r\n\r\n"
 LAST = b"GET /read/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: last\r\nConnection: close\r\n\r\n"
 CODINGS = st.sampled_from(
@@ -56,10 +69,11 @@
         options = {"log_output": False, "debug": False, "socket_timeout": 0.2, "keepalive": True}
         server = eventlet.spawn(wsgi.server, listener, app, protocol=protocol, **options)
         self.addCleanup(server.kill)
-        self.requests = []
+        self.requests, self.targets = [], []
 
     def serve(self, request, _watch):
         self.requests.append((request.request_id, bytes(request.body)))
+        self.targets.append((request.path, request.target))
         return Err(RequestFailure(Code.NO_SERVER, True, "no-server"))
 
     def send(self, lines, body):
@@ -122,6 +136,19 @@
         self.send([], b"")
         self.assertEqual(self.requests, [("outer", b""), ("last", b"")])
 
+    # A path that begins with two slashes was joined to one, so that another route's service ran the
+    # request (ROUTE, UNASKED).
+    def test_target_is_routed_and_passed_on_as_it_was_sent(self):
+        for target in TARGETS:
+            with self.subTest(target=target):
+                self.targets.clear()
+                with green_socket.create_connection(self.address) as sock:
+                    head = f"GET {target} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                    sock.sendall(head.encode())
+                    while sock.recv(65536):
+                        pass
+                self.assertEqual(self.targets, [(target.partition("?")[0], target)])
+
     def test_unknown_coding_is_not_implemented(self):
         answers = self.send(["Transfer-Encoding: gzip, chunked"], b"0\r\n\r\n")
         self.assertTrue(answers.startswith(b"HTTP/1.1 501 "), answers)
