Stop a request that crashes servers without other traffic as well

Cause: the gateway never said that a connection was new, so that a reset had to be confirmed by another request or a refused connection within 2 s.

Fix: it says so, and with that the request is held back after resets at two servers, at first for 20 s; resets at three servers count as crashes. Resets at three servers within 2 s are taken for the network's, unless the request was reset before.

--- a/figfold/core/quarantine.py
+++ b/figfold/core/quarantine.py
@@ -26,6 +26,8 @@
 HEALTHY_SERVER_DOUBLINGS = 3
 RECOVERY_S = 10.0  # A server without a failure for this time may have recovered.
 STRIKES_TO_QUARANTINE = 2
+# Unconfirmed resets at so many servers count as crashes.
+SERVERS_TO_CONFIRM = 3
 FINGERPRINT_LIMIT = 1000
 EXPORT_LIMIT = 64  # Items of each kind in a report to a peer.
 
@@ -292,8 +294,9 @@
 
         An unconfirmed reset counts only if the request was reset at another server too, and if
         at least one of the connections was new: a server may close an idle connection without a
-        crash. A popular request is in progress at any crash, so that a request which servers
-        have answered recently is quarantined for a short time at first.
+        crash. Such resets at three servers count as crashes. A popular request is in progress at
+        any crash, so that a request which servers have answered recently is quarantined for a
+        short time at first.
         """
         strikes = self._strikes_by_fingerprint[fingerprint]
         confirmed = sum(strike.confirmed for strike in strikes)
@@ -301,7 +304,9 @@
         any_reliable = any(strike.confirmed or strike.fresh for strike in strikes)
         repeated = any_reliable and len(servers) >= STRIKES_TO_QUARANTINE
         latest_s = max(strike.at_s for strike in strikes)
-        crashed_twice = confirmed >= STRIKES_TO_QUARANTINE
+        crashed_twice = confirmed >= STRIKES_TO_QUARANTINE or (
+            repeated and len(servers) >= SERVERS_TO_CONFIRM
+        )
         if crashed_twice or repeated or any(strike.doublings for strike in strikes):
             pause_start_s = self._trial_pause_start_by_fingerprint.get(fingerprint, -inf)
             self.postpone_trial(fingerprint, max(pause_start_s, latest_s))
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -337,11 +337,19 @@
         elif result.outcome in (AttemptOutcome.FAILED, AttemptOutcome.ERROR_ANSWERED):
             load.observe_failure(now, is_unreachable=False)
             if result.code in (Code.SERVER_RESET, Code.SERVER_SHORT_ANSWER):
-                runner.quarantine.record_reset(server_id, fingerprint, False, now)
-                runner.on_suspected_crash()
+                self._record_reset(server_id, result.fresh, now)
         if result.code is not Code.OK:
             runner.metrics.count_code(result.code, service=self.service)
 
+    def _record_reset(self, server_id, is_fresh, now):
+        runner = self.runner
+        fingerprint = self.request.fingerprint
+        is_by_network = runner.reset_watch.record(server_id, now)
+        if is_by_network and not runner.quarantine.is_suspect(fingerprint, now):
+            return
+        runner.quarantine.record_reset(server_id, fingerprint, is_fresh, now)
+        runner.on_suspected_crash()
+
     def _add_run_time(self, choice, result):
         """Add the run time to the route's, unless a wait or a cold start may be included."""
         waited = choice.will_queue or (result.load is not None and result.load.waiting > 0)
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -10,6 +10,7 @@
 from figfold.core.codes import Code
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.limiters import OverflowLimiter, RetryBudget
+from figfold.core.traffic.reset_watch import ResetWatch
 from figfold.entry.clock import now_s
 from figfold.gateway.request_run import RETRY_AFTER_S, RequestRun
 from figfold.gateway.requests import CALLER_DISCONNECTED, DEADLINE_CHANGED, RequestFailure
@@ -45,6 +46,7 @@
     settings: object
     on_suspected_crash: object
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
+    reset_watch: ResetWatch = Factory(ResetWatch)
     answers_until_s: float = inf
     _runs: set = Factory(set)
     _durations_by_route: dict = Factory(dict)
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -62,6 +62,13 @@
         self.quarantine.record_reset("s2", "poison", fresh=True, now_s=10.0)
         self.assertTrue(self.is_quarantined("poison", 10.0))
 
+    # Under little traffic no other request confirms a crash, and the request reached a server each
+    # time it came (BUDGET).
+    def test_unconfirmed_resets_at_three_servers_count_as_crashes(self):
+        for number in range(3):
+            self.quarantine.record_reset(f"s{number}", "poison", number == 1, 30.0 * number)
+        self.assertTrue(self.quarantine.is_quarantined("poison", 60.0 + QUARANTINE_S - 1.0))
+
     def test_unconfirmed_resets_quarantine_for_a_short_time_that_doubles(self):
         for at_s, held_s in ((0.0, 20.0), (700.0, 40.0), (1400.0, 80.0)):
             self.quarantine.record_reset("s1", "popular", True, at_s)
