Pass on all headers of one name

Found by the independent review, without a case: of several headers with one name the server got the last one only. The new test failed before.

--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define, frozen
 from eventlet import Timeout
 from result import Err, Ok
+from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError, IncompleteRead
 
 from figfold.core.codes import Code
@@ -203,7 +204,7 @@
             target,
             # The library sends what is left of a body as a copy each time, but not of a view.
             body=memoryview(body) if body else None,
-            headers=dict(headers),
+            headers=HTTPHeaderDict(headers),
             preload_content=False,
             decode_content=False,
         )
--- a/test/test_connections.py
+++ b/test/test_connections.py
@@ -251,6 +251,25 @@
         self.assertEqual(self.exchange(self.CHUNKED_HEAD + chunks).unwrap().body, b"0123456789")
 
 
+class RequestHeadersTest(unittest.TestCase):
+    def setUp(self):
+        patch = mock.patch("urllib3.util.connection.socket", socket)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    # Of several headers with one name the server got the last one only.
+    def test_headers_with_one_name_are_sent_in_order(self):
+        server = FakeServer()
+        self.addCleanup(server.thread.kill)
+        headers = (("X-A", "1"), ("X-B", "2"), ("X-A", "3"))
+        result = Connections(LONG_S, BUFFER_BYTES).exchange(
+            server.address, ("GET", "/plain", headers, b""), LONG_S
+        )
+        self.assertTrue(result.is_ok())
+        sent = [line.lower() for line in server.head_by_path["/plain"] if b"x-" in line.lower()[:2]]
+        self.assertEqual([one for one in sent if one.startswith(b"x-a")], [b"x-a: 1", b"x-a: 3"])
+
+
 class EndlessAnswerTest(unittest.TestCase):
     """Bytes that are no answer and never end, in the head or the body."""
 
