--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -15,6 +15,7 @@
 from figfold.gateway.protocol import CLOSES_CONNECTION, CONNECTION, RAW_TARGET, host_name
 from figfold.gateway.requests import GatewayRequest, RequestFailure
 from figfold.platform.headers import (
+    is_end_to_end,
     is_set_by_entry,
     lookup_body,
     parse_request_headers,
@@ -259,7 +260,7 @@
         (name, value)
         for name, value in raw_headers
         if name.lower() not in HOP_BY_HOP
-        and name.lower() not in connection_headers
+        and (name.lower() not in connection_headers or is_end_to_end(name))
         and name.lower() != "expect"
         and not is_set_by_entry(name)
     ]
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -118,6 +118,11 @@
     return ((SERVER_ID, server_id), (DEADLINE, str(left_ms)))
 
 
+def is_end_to_end(name):
+    """Return whether a header is passed on even if a caller names it in ``Connection``."""
+    return name.lower() in (REQUEST_ID.lower(), OBJECT_KEY.lower())
+
+
 def is_set_by_entry(name):
     """Return whether the entry sets this header itself in requests to backend servers."""
     return name.lower() in (SERVER_ID.lower(), DEADLINE.lower())
--- a/test/test_http_framing.py
+++ b/test/test_http_framing.py
@@ -69,11 +69,12 @@
         options = {"log_output": False, "debug": False, "socket_timeout": 0.2, "keepalive": True}
         server = eventlet.spawn(wsgi.server, listener, app, protocol=protocol, **options)
         self.addCleanup(server.kill)
-        self.requests, self.targets = [], []
+        self.requests, self.targets, self.headers = [], [], []
 
     def serve(self, request, _watch):
         self.requests.append((request.request_id, bytes(request.body)))
         self.targets.append((request.path, request.target))
+        self.headers.append(request.headers)
         return Err(RequestFailure(Code.NO_SERVER, True, "no-server"))
 
     def send(self, lines, body):
@@ -149,6 +150,13 @@
                         pass
                 self.assertEqual(self.targets, [(target.partition("?")[0], target)])
 
+    # The request reached its server without its id.
+    def test_id_is_passed_on_although_it_is_named_as_of_the_connection(self):
+        self.send(["Connection: attempt-id, x-a", "X-A: 1", "Content-Length: 0"], b"")
+        names = [name.lower() for name, _ in self.headers[0]]
+        self.assertIn("attempt-id", names)
+        self.assertNotIn("x-a", names)
+
     def test_unknown_coding_is_not_implemented(self):
         answers = self.send(["Transfer-Encoding: gzip, chunked"], b"0\r\n\r\n")
         self.assertTrue(answers.startswith(b"HTTP/1.1 501 "), answers)
