--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -23,6 +23,7 @@
 HEADER_LINE_BYTES = 64 << 10
 # Start of a refusal by the WSGI server, which writes it at once, unlike an application's answer.
 LIBRARY_REFUSAL_PREFIX = b"HTTP/1.0 4"
+EMPTY_LINES = (b"\r\n", b"\n")
 FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
 # Limits on the line before a chunk of a body, and on all lines after the last chunk.
 CHUNK_LINE_BYTES = 4 << 10
@@ -82,6 +83,11 @@
         self.request.__class__ = YieldingSocket
         super().setup()
 
+    def _read_request_line(self):
+        line = super()._read_request_line()
+        # Some callers send an empty line after a body (RFC 9112, 2.2).
+        return super()._read_request_line() if line in EMPTY_LINES else line
+
     def parse_request(self):
         lines = self.rfile = _FieldLines(self.rfile)
         if not super().parse_request():
@@ -119,7 +125,7 @@
     def readline(self, size=-1):
         """Read a line of the head, the empty one included."""
         line = self._file.readline(size)
-        if line not in (b"", b"\r\n", b"\n") and not is_field_line(line):
+        if line and line not in EMPTY_LINES and not is_field_line(line):
             self.are_valid = False
         return line
 
--- a/test/test_http_framing.py
+++ b/test/test_http_framing.py
@@ -157,6 +157,10 @@
         self.assertIn("attempt-id", names)
         self.assertNotIn("x-a", names)
 
+    def test_empty_line_before_a_request_is_ignored(self):
+        self.send(["Content-Length: 5"], b"abcde\r\n")
+        self.assertEqual(self.requests, [("outer", b"abcde"), ("last", b"")])
+
     def test_unknown_coding_is_not_implemented(self):
         answers = self.send(["Transfer-Encoding: gzip, chunked"], b"0\r\n\r\n")
         self.assertTrue(answers.startswith(b"HTTP/1.1 501 "), answers)
