--- a/figfold/gateway/listener.py
+++ b/figfold/gateway/listener.py
@@ -1,12 +1,17 @@
 """Listening socket that stops without cutting off connections that it has accepted."""
 
+import errno
 from collections import deque
 from socket import SHUT_RDWR
 
+import eventlet
 from attrs import Factory, define
 from eventlet.event import Event
 from eventlet.greenio.base import socket_accept
 
+NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
+ACCEPT_RETRY_S = 0.1
+
 
 @define(eq=False)
 class StoppableListener:
@@ -21,12 +26,16 @@
 
     def accept(self):
         """Return the next connection and its address."""
-        if not self._is_stopped:
+        while not self._is_stopped:
             try:
                 return self.sock.accept()
-            except OSError:
-                if not self._is_stopped:
+            except OSError as error:
+                if self._is_stopped:
+                    break
+                if error.errno not in NO_DESCRIPTOR_ERRORS:
                     raise
+                # The WSGI server would end. Connections wait until a descriptor is free.
+                eventlet.sleep(ACCEPT_RETRY_S)
         if not self._pending:
             Event().wait()
         client, address = self._pending.popleft()
--- a/test/test_http_framing.py
+++ b/test/test_http_framing.py
@@ -1,6 +1,8 @@
 """Requests whose end is not certain are refused by the WSGI server, all others arrive unchanged."""
 
+import errno
 import unittest
+from types import SimpleNamespace
 
 import eventlet
 from eventlet import wsgi
@@ -15,6 +17,7 @@
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.entry.metrics import Metrics
 from figfold.gateway.apps import RequestApp
+from figfold.gateway.listener import StoppableListener
 from figfold.gateway.protocol import make_gateway_protocol
 from figfold.gateway.requests import RequestFailure
 
@@ -174,6 +177,20 @@
             self.assertIn(b":", line)
 
 
+class ListenerTest(unittest.TestCase):
+    # The process took no connection any more once its descriptors had been exhausted.
+    def test_exhausted_descriptors_do_not_end_the_listener(self):
+        results = [OSError(errno.EMFILE, "too many"), OSError(errno.ENFILE, "too many"), "accepted"]
+
+        def accept():
+            result = results.pop(0)
+            if isinstance(result, OSError):
+                raise result
+            return result
+
+        self.assertEqual(StoppableListener(SimpleNamespace(accept=accept)).accept(), "accepted")
+
+
 class AnswerFramingTest(unittest.TestCase):
     def test_answers(self):
         for codings, lengths, expected in (
