Give connections that are opened at the same time different numbers

Found on rereading: opening a connection lets other green threads run, so that the number in the log could be that of a later one. The new test failed before.

--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -140,9 +140,10 @@
         is_fresh = connection is None
         if is_fresh:
             self.opened += 1
+            number = self.opened
             connection = _open(address, min(timeout_s, self.connect_timeout_s))
             if connection is not None:
-                connection.number = self.opened
+                connection.number = number
         left_s = deadline_s - now_s()
         if connection is None or left_s <= 0.0:
             _close(connection)
--- a/test/test_connections.py
+++ b/test/test_connections.py
@@ -257,6 +257,20 @@
         patch.start()
         self.addCleanup(patch.stop)
 
+    # Connections that were opened at the same time got the number of the last one.
+    def test_connections_that_are_opened_together_have_different_numbers(self):
+        server = FakeServer()
+        self.addCleanup(server.thread.kill)
+        connections = Connections(LONG_S, BUFFER_BYTES)
+        exchanges = [
+            eventlet.spawn(
+                connections.exchange, server.address, ("GET", f"/plain/{n}", (), b""), LONG_S
+            )
+            for n in range(8)
+        ]
+        numbers = {one.wait().unwrap().connection_number for one in exchanges}
+        self.assertEqual(numbers, set(range(1, 9)))
+
     # Of several headers with one name the server got the last one only.
     def test_headers_with_one_name_are_sent_in_order(self):
         server = FakeServer()
