--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -64,7 +64,7 @@
             server_read_interval_s=section.seconds("server_read_interval_s"),
             configuration_wait_s=section.seconds("configuration_wait_s"),
             stop_grace_s=section.seconds("stop_grace_s"),
-            memory_mb=section.number("memory_mb", low=100.0),
+            memory_mb=section.number("memory_mb", low=1.0),
             lookup_ttl_s=section.milliseconds("lookup_ttl_ms"),
             retry_ratio=section.number("retry_ratio", 0.0, 1.0),
             retry_window_s=section.seconds("retry_window_s"),
