Count answers that wait for their turn among those that are held

Found on rereading: a caller that sends reads ahead and does not read made the entry hold eight answers of up to 256 KiB for each of its connections, outside the limit for all answers. An answer for which there is no memory waits for its turn, and its server with it. The new test failed when the waiting answers were not counted.

--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -8,6 +8,7 @@
 from attrs import Factory, define
 
 from figfold.core.codes import Code
+from figfold.entry.answer_memory import AnswerMemory
 from figfold.entry.clock import now_s
 from figfold.entry.connections import HOP_BY_HOP
 from figfold.entry.large_body import AnswerBody
@@ -63,6 +64,7 @@
     limits: Callable
     knowledge: Callable = dict
     body_memory: BodyMemoryLimiter = Factory(BodyMemoryLimiter)
+    answer_memory: AnswerMemory = Factory(AnswerMemory)
     in_progress: int = 0
     started: int = 0
 
--- a/figfold/gateway/caller_connection.py
+++ b/figfold/gateway/caller_connection.py
@@ -14,6 +14,8 @@
 from eventlet.event import Event
 from eventlet.hubs import trampoline
 
+from figfold.entry.answer_memory import AnswerMemory, HeldMemory
+
 # Requests of one connection that run at the same time, the first one included.
 MAX_OVERLAP = 8
 # Bytes of further requests that are held while none of them can be started.
@@ -66,11 +68,17 @@
 
 
 class WaitingAnswer:
-    """Holds what is written of an answer until its turn on the connection."""
+    """Holds what is written of an answer until its turn on the connection.
 
-    def __init__(self):
+    Parameters
+    ----------
+    memory : AnswerMemory or None
+        Memory for all answers together; None for one of its own.
+    """
+
+    def __init__(self, memory=None):
         self._parts = []
-        self._size = 0
+        self._held = HeldMemory(memory or AnswerMemory())
         self._file = None
         self._turn = Event()
 
@@ -81,14 +89,18 @@
 
     def write(self, data):
         """Hold the data, or write it if it is the answer's turn."""
-        if self._file is None and self._size + len(data) > MAX_WAITING_ANSWER_BYTES:
+        if self._file is None and not self._may_hold(len(data)):
             self._turn.wait()
         if self._file is not None:
             return self._file.write(data)
         self._parts.append(bytes(data))
-        self._size += len(data)
+        self._held.grow(len(data))
         return len(data)
 
+    def _may_hold(self, size):
+        is_small = self._held.size + size <= MAX_WAITING_ANSWER_BYTES
+        return is_small and self._held.may_grow(size)
+
     def writelines(self, lines):
         """Write each of the lines."""
         for line in lines:
@@ -111,6 +123,7 @@
             for part in parts:
                 file.write(part)
             file.flush()
+        self._held.release()
         self._file = file
         self._turn.send()
 
@@ -306,7 +319,7 @@
         None if the connection ended instead.
     """
     twin = copy.copy(protocol)
-    waiting = WaitingAnswer()
+    waiting = WaitingAnswer(protocol.server.app.answer_memory)
     twin.wfile = twin.wrap_file(waiting)
     twin.ahead_request = AheadRequest(twin)
     twin.read_request()
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -268,6 +268,7 @@
             log=self.log,
             limits=self._limits,
             knowledge=self.cluster.knowledge,
+            answer_memory=self.connections.memory,
             body_memory=BodyMemoryLimiter(_memory_bytes(settings, BODY_MEMORY_FRACTION)),
         )
 
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -196,6 +196,23 @@
         sock.sendall(get("a", LONG_S) + get("b", SHORT_S) + get("c", SHORT_S))
         self.assertEqual(self.read_answers(sock, 3)[0], ["a", "b", "c"])
 
+    # Eight answers of each connection, of 256 KiB each, were held without a limit for all of them.
+    def test_answers_that_wait_stay_within_the_memory_for_all_answers(self):
+        memory = self.app.answer_memory
+        memory.limit_bytes = MAX_WAITING_ANSWER_BYTES
+        self.body_bytes = MAX_WAITING_ANSWER_BYTES // 2
+        ids = [f"r{number}" for number in range(MAX_OVERLAP)]
+        sock = self.connect()
+        sock.sendall(
+            b"".join(get(one, SHORT_S / 2 if number else LONG_S) for number, one in enumerate(ids))
+        )
+        eventlet.sleep(LONG_S - SHORT_S)
+        self.assertEqual(len(self.ended), MAX_OVERLAP - 1)
+        self.assertGreater(memory.held_bytes, 0)
+        self.assertLessEqual(memory.held_bytes, memory.limit_bytes)
+        self.assertEqual(self.read_answers(sock, MAX_OVERLAP)[0], ids)
+        self.assertEqual(memory.held_bytes, 0)
+
     def test_answer_that_breaks_off_is_the_last_and_not_complete(self):
         def broken_rest():
             yield b"y" * 5
