--- a/figfold/core/traffic/removals.py
+++ b/figfold/core/traffic/removals.py
@@ -94,4 +94,4 @@
         missed_s = removal.removed_s - removal.last_seen_s
         # The rows that the server may have written between its last known one and the removal.
         most_rows = missed_s / HEARTBEAT_S + 1
-        return missed_s > LAST_ROW_AGE_S or record.sequence - last.sequence <= most_rows
+        return missed_s > LAST_ROW_AGE_S or 0 < record.sequence - last.sequence <= most_rows
