--- a/bench/day_servers.py
+++ b/bench/day_servers.py
@@ -51,6 +51,7 @@
     _open: set = field(factory=set)
     _warm: deque = field(factory=lambda: deque(maxlen=WARM_KEYS))
     _born_ms: int = 0
+    _has_left: bool = False
 
     def run(self):
         """Follow the plan."""
@@ -68,11 +69,10 @@
             if self.plan["drains"]:
                 self.state = "draining"
                 self._put_row()
-                self.record("left", server=self.plan["id"])
             elif self.plan["drains"] is False:
                 beating.kill()
-                self.store.remove("servers", self.plan["id"])
-                self.record("left", server=self.plan["id"])
+                if self.store.remove("servers", self.plan["id"]):
+                    self._record_left()
             _sleep_until(self.plan["ends_s"])
             accepting.kill()
             beating.kill()
@@ -102,7 +102,14 @@
             },
             "status": {"state": self.state, "sequence": self.sequence, "coldRemainingS": cold_s},
         }
-        self.store.put("servers", self.plan["id"], row)
+        if self.store.put("servers", self.plan["id"], row) and self.state == "draining":
+            self._record_left()
+
+    def _record_left(self):
+        """Record when the store has first accepted that the server leaves."""
+        if not self._has_left:
+            self._has_left = True
+            self.record("left", server=self.plan["id"])
 
     def _accept(self):
         while True:
