Serve organisations by their API keys, homes and priorities

The configuration now holds organisations with digests of their keys. A request without a known key gets 401, the server gets the organisation's name, homes of route and organisation both bind, and an entry stops admitting keys before its last reading of the operator's rows is as old as the revocation bound.

--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -20,6 +20,8 @@
     ----------
     region_by_place : dict[str, str]
         The region of each data centre.
+    revocation_bound_s : float
+        Longest time for which a withdrawn API key may be accepted; 0 sets no bound.
     """
 
     name: str
@@ -39,6 +41,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    revocation_bound_s: float
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
@@ -69,6 +72,7 @@
             retry_ratio=section.number("retry_ratio", 0.0, 1.0),
             retry_window_s=section.seconds("retry_window_s"),
             retry_slack=section.number("retry_slack"),
+            revocation_bound_s=section.number("revocation_bound_s"),
             region_by_place=region_by_place,
             peers=peers,
             log=log,
--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -77,6 +77,9 @@
     ENTRY_LEAVING = 326
     NO_MEMORY = 327
     SERVERS_LIMITED = 328
+    UNKNOWN_API_KEY = 329
+    KEYS_UNCONFIRMED = 330
+    HOMES_EXCLUDE = 331
 
     # Requests attempted at a backend server.
     CONNECT_FAILED = 401
--- /dev/null
+++ b/figfold/core/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations whose callers carry API keys: identification, homes, withdrawn keys."""
--- /dev/null
+++ b/figfold/core/organisations/access.py
@@ -0,0 +1,71 @@
+"""Decides for which organisation a request may run, by its API key and the age of what is known.
+
+An entry must not admit a request by a key that was withdrawn longer ago than the revocation bound.
+It cannot see a withdrawal that is later than its last reading of the operator's rows, so it stops
+admitting requests with keys before that reading is as old as the bound. A request that arrives in
+time was also sent in time, whatever happens to it later.
+"""
+
+from enum import Enum
+
+from attrs import frozen
+
+# Time by which keys are refused before the bound, for the steps between the check and the send.
+REVOCATION_MARGIN_S = 0.25
+
+
+class Access(Enum):
+    """Whether a request may run."""
+
+    ALLOWED = "allowed"
+    UNKNOWN_KEY = "unknown-key"
+    UNCONFIRMED_KEYS = "unconfirmed-keys"  # The keys may have been withdrawn meanwhile.
+
+
+@frozen
+class AccessDecision:
+    """Decision on a request, and the organisation for which it runs, None for anonymous callers."""
+
+    access: Access
+    organisation: object = None
+
+
+ANONYMOUS = AccessDecision(Access.ALLOWED)
+
+
+def decide_access(configuration, route, digest, are_keys_confirmed):
+    """Return the `AccessDecision` for a request.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    route : Route
+    digest : str
+        Digest of the request's API key; empty without one.
+    are_keys_confirmed : bool
+        See `are_keys_confirmed`.
+    """
+    if not configuration.has_organisations:
+        return ANONYMOUS
+    if not are_keys_confirmed:
+        is_open = route.allows_anonymous
+        return ANONYMOUS if is_open else AccessDecision(Access.UNCONFIRMED_KEYS)
+    organisation = configuration.organisation_of(digest)
+    if organisation is None and not route.allows_anonymous:
+        return AccessDecision(Access.UNKNOWN_KEY)
+    return AccessDecision(Access.ALLOWED, organisation)
+
+
+def are_keys_confirmed(reading_age_s, revocation_bound_s):
+    """Return whether no key can have been withdrawn longer ago than the bound.
+
+    Parameters
+    ----------
+    reading_age_s : float
+        Age of the last reading of the operator's rows.
+    revocation_bound_s : float
+        Longest time for which a withdrawn key may be accepted; 0 sets no bound.
+    """
+    if revocation_bound_s <= 0.0:
+        return True
+    return reading_age_s < revocation_bound_s - REVOCATION_MARGIN_S
--- a/figfold/core/traffic/configuration.py
+++ b/figfold/core/traffic/configuration.py
@@ -4,6 +4,8 @@
 
 from attrs import Factory, field, frozen
 
+from figfold.core.organisations.organisation import index_by_key
+
 
 class Repeatability(Enum):
     """Whether a request of a route may run more than once."""
@@ -43,6 +45,8 @@
         requests for one object should go to the same servers.
     home_regions : frozenset[str]
         The only regions in which the requests may run; empty if all are allowed.
+    allows_anonymous : bool
+        Whether callers need no API key, where organisations are configured.
     """
 
     name: str
@@ -57,6 +61,7 @@
     max_attempts: int = 1
     is_sticky: bool = True
     home_regions: frozenset[str] = frozenset()
+    allows_anonymous: bool = False
 
     @property
     def is_repeatable(self):
@@ -113,12 +118,31 @@
 
 @frozen
 class Configuration:
-    """One version of the configuration; a later version has a higher number."""
+    """One version of the configuration; a later version has a higher number.
+
+    Attributes
+    ----------
+    has_organisations : bool
+        Whether callers need an API key, except on routes that allow anonymous ones.
+    failures : tuple[Failure, ...]
+        One for each organisation, or key, that was left out because it is invalid.
+    """
 
     version: int
     route_by_name: dict[str, Route]
     service_by_name: dict[str, ServiceRules]
     limits: CallerLimits = Factory(CallerLimits)
+    organisation_by_name: dict = Factory(dict)
+    has_organisations: bool = False
+    failures: tuple = ()
+    _organisation_by_key: dict = field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=Factory(
+            lambda self: index_by_key(self.organisation_by_name.values()), takes_self=True
+        ),
+    )
     _routes_by_host: dict = field(
         init=False,
         eq=False,
@@ -126,6 +150,15 @@
         default=Factory(lambda self: _index_routes(self.route_by_name), takes_self=True),
     )
 
+    def organisation_of(self, digest):
+        """Return the organisation that holds the API key of a digest, or None."""
+        return self._organisation_by_key.get(digest)
+
+    @property
+    def has_anonymous_routes(self):
+        """Whether some route allows callers without an API key."""
+        return any(route.allows_anonymous for route in self.route_by_name.values())
+
     def match(self, host, path):
         """Return the host's route with the longest prefix that matches the path, or None."""
         routes = self._routes_by_host.get(host)
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -31,6 +31,7 @@
     Code.NO_ROUTE: "404 Not Found",
     Code.BAD_REQUEST: "400 Bad Request",
     Code.BODY_TOO_LARGE: "413 Content Too Large",
+    Code.UNKNOWN_API_KEY: "401 Unauthorized",
 }
 NOT_RUN_STATUS = "503 Service Unavailable"
 TIMEOUT_STATUS = "504 Gateway Timeout"
@@ -248,6 +249,7 @@
         caller_deadline_s=started + left_s,
         key=head.key,
         fingerprint=_fingerprint(method, host, target, body),
+        key_digest=head.key_digest,
     )
 
 
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -210,8 +210,14 @@
         self.live_entry_places()
         return self._live_regions
 
-    def entry_addresses(self, place, region):
-        """Return the addresses of live entries in the place, else in the region, else anywhere."""
+    def entry_addresses(self, place, region, without=""):
+        """Return the addresses of live entries in the place, else in the region, else anywhere.
+
+        Parameters
+        ----------
+        without : str
+            An address that is left out.
+        """
         live = self.membership.live_entries(now_s())
         if live is not self._live_of_addresses:
             self._live_of_addresses = live
@@ -221,8 +227,11 @@
                     own_region = self.region_by_place.get(entry.place)
                     for area in (("place", entry.place), ("region", own_region), None):
                         self._addresses_near.setdefault(area, []).append(entry.address)
-        near = self._addresses_near
-        return near.get(("place", place)) or near.get(("region", region)) or near.get(None, [])
+        for area in (("place", place), ("region", region), None):
+            addresses = [one for one in self._addresses_near.get(area, ()) if one != without]
+            if addresses:
+                return addresses
+        return []
 
     def place_by_live_entry(self):
         """Return the places of the live entries by name, this one included unless it leaves."""
--- a/figfold/gateway/event_log.py
+++ b/figfold/gateway/event_log.py
@@ -46,7 +46,14 @@
     def start(self, level):
         """Send the messages of ``loguru`` to this log, and write them in the background."""
         logger.remove()
-        logger.add(self._queue_message, level=level, format=MESSAGE_FORMAT)
+        # Diagnosed tracebacks would hold the values of variables, such as callers' API keys.
+        logger.add(
+            self._queue_message,
+            level=level,
+            format=MESSAGE_FORMAT,
+            backtrace=False,
+            diagnose=False,
+        )
         eventlet.spawn_n(self._write_forever)
 
     def _queue_message(self, message):
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -13,6 +13,7 @@
 from figfold.core.members import NEWS_LIMIT, Members
 from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
 from figfold.core.names import is_name
+from figfold.core.organisations.access import are_keys_confirmed
 from figfold.core.quarantine import Quarantine
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.core.traffic.placement import Placement
@@ -348,7 +349,18 @@
 
     def look_up(self, place, region):
         """Return the addresses of live entries in the place, else in the region, else anywhere."""
-        return self.cluster.entry_addresses(place, region)
+        without = "" if self._serves_keys() else self.settings.caller_address
+        return self.cluster.entry_addresses(place, region, without)
+
+    def _serves_keys(self):
+        """Return whether this entry is of use to callers with API keys, if there are any."""
+        configuration = self.cluster.configuration
+        if configuration is None or not configuration.has_organisations:
+            return True
+        age_s = self.cluster.operator_age_s(now_s())
+        return configuration.has_anonymous_routes or are_keys_confirmed(
+            age_s, self.settings.revocation_bound_s
+        )
 
     def _serve(self, address, app, protocol):
         host, port = address.rsplit(":", 1)
@@ -463,6 +475,12 @@
                 ("servers", {}, len(self.cluster.fleet.server_by_id)),
                 ("servers_age_seconds", {}, self.cluster.servers_age_s(now)),
                 ("operator_age_seconds", {}, self.cluster.operator_age_s(now)),
+                (
+                    "organisations",
+                    {},
+                    len(configuration.organisation_by_name) if configuration else 0,
+                ),
+                ("keys_confirmed", {}, int(self._serves_keys())),
                 ("live_entries", {}, len(self.cluster.live_entry_places())),
                 ("answer_bytes", {}, self.connections.memory.held_bytes),
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from figfold.core.codes import Code
+from figfold.core.organisations.access import Access
 from figfold.core.traffic.retry_decision import (
     AttemptOutcome,
     NextStep,
@@ -60,6 +61,10 @@
         Error answer of a server, which is returned if no attempt succeeds.
     hedge_decided : bool
         Whether a hedge was sent or ruled out.
+    organisation : Organisation or None
+        Whose API key the request carries; None for an anonymous caller.
+    home_regions : frozenset[str]
+        The only regions in which the request may run; empty if all are allowed.
     """
 
     runner: object
@@ -67,6 +72,8 @@
     route: object
     service: str
     configuration: object
+    organisation: object = None
+    home_regions: frozenset = frozenset()
     events: LightQueue = Factory(LightQueue)
     attempt_by_id: dict = Factory(dict)
     progress: RequestProgress = Factory(RequestProgress)
@@ -82,6 +89,14 @@
         """The object that determines the choice of a server, or an empty string."""
         return self.request.key if self.route.is_sticky else ""
 
+    @property
+    def priority(self):
+        """Priority, 0 the highest; an organisation's own goes before that of the route."""
+        organisation = self.organisation
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return self.route.priority
+
     @property
     def deadline_s(self):
         """When the final answer is due, in monotonic seconds."""
@@ -119,6 +134,8 @@
     # Attempts.
 
     def _start_attempt(self, is_hedge):
+        if not self._has_access():
+            return False
         choice = self._choose()
         now = now_s()
         if choice is None or choice.expected_s > self.deadline_s - now:
@@ -183,6 +200,20 @@
             )
         self.events.put(AttemptEnded(attempt_id, result))
 
+    def _has_access(self):
+        """Return whether the API key is still held by the organisation; else set the code."""
+        if self.organisation is None:
+            return True
+        configuration = self.runner.cluster.configuration
+        decision = self.runner.decide_access(configuration, self.route, self.request.key_digest)
+        held_by = decision.organisation
+        if held_by is not None and held_by.name == self.organisation.name:
+            return True
+        is_unconfirmed = decision.access is Access.UNCONFIRMED_KEYS
+        self.last_code = Code.KEYS_UNCONFIRMED if is_unconfirmed else Code.UNKNOWN_API_KEY
+        self._log("key-withdrawn", organisation=self.organisation.name, code=int(self.last_code))
+        return False
+
     def _choose_overflow(self, now):
         """Return a choice in another region that meets the deadline, if the limiter allows one."""
         choice = self._choose(is_overflow=True)
@@ -205,7 +236,7 @@
             self.service,
             self.key,
             frozenset(self.tried),
-            self.route.home_regions,
+            self.home_regions,
             is_overflow,
             frozenset(regions),
         )
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -3,23 +3,32 @@
 from itertools import count
 from math import inf
 
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 from eventlet import Timeout
 from result import Err
 
 from figfold.core.codes import Code
+from figfold.core.organisations.access import Access, are_keys_confirmed, decide_access
+from figfold.core.organisations.organisation import common_homes
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.limiters import OverflowLimiter, RetryBudget
 from figfold.core.traffic.reset_watch import ResetWatch
 from figfold.entry.clock import now_s
 from figfold.gateway.request_run import RETRY_AFTER_S, RequestRun
 from figfold.gateway.requests import CALLER_DISCONNECTED, DEADLINE_CHANGED, RequestFailure
+from figfold.platform.headers import with_organisation
 
 # A request that crashes servers stays in quarantine for long, so that an early retry is futile.
 QUARANTINE_RETRY_AFTER_S = 2.0
 # An entry has read the store about 0.3 s after it starts to listen. A caller that was refused
 # meanwhile would not be served earlier than one that waits.
 START_WAIT_S = 0.6
+FAILURE_BY_ACCESS = {
+    Access.UNKNOWN_KEY: RequestFailure(Code.UNKNOWN_API_KEY, True, "unknown-key"),
+    Access.UNCONFIRMED_KEYS: RequestFailure(
+        Code.KEYS_UNCONFIRMED, True, "unconfirmed-keys", RETRY_AFTER_S
+    ),
+}
 
 
 @define(eq=False)
@@ -69,6 +78,18 @@
         route = configuration.match(request.host, request.path)
         if route is None:
             return Err(RequestFailure(Code.NO_ROUTE, True, "no-route"))
+        decision = self.decide_access(configuration, route, request.key_digest)
+        if decision.access in FAILURE_BY_ACCESS:
+            return Err(FAILURE_BY_ACCESS[decision.access])
+        organisation = decision.organisation
+        homes = common_homes(
+            route.home_regions, organisation.home_regions if organisation else frozenset()
+        )
+        if homes is None:
+            return Err(RequestFailure(Code.HOMES_EXCLUDE, True, "homes-exclude"))
+        if configuration.has_organisations:
+            name = organisation.name if organisation else None
+            request = evolve(request, headers=with_organisation(request.headers, name))
         if self.quarantine.is_quarantined(request.fingerprint, now_s()):
             return Err(
                 RequestFailure(Code.QUARANTINED, True, "quarantined", QUARANTINE_RETRY_AFTER_S)
@@ -79,7 +100,9 @@
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
         self.retry_budget(service).count_request(now_s())
         self.overflow_limiter.count_request(now_s())
-        run = RequestRun(self, request, route, service, configuration)
+        run = RequestRun(
+            self, request, route, service, configuration, organisation, home_regions=homes
+        )
         stop_watching = watch_caller(lambda: run.events.put(CALLER_DISCONNECTED))
         self._runs.add(run)
         try:
@@ -89,6 +112,13 @@
             stop_watching()
             run.cancel_all()
 
+    def decide_access(self, configuration, route, digest):
+        """Return the `AccessDecision` for a request now; see `decide_access` of the core."""
+        is_confirmed = are_keys_confirmed(
+            self.cluster.operator_age_s(now_s()), self.settings.revocation_bound_s
+        )
+        return decide_access(configuration, route, digest, is_confirmed)
+
     def is_repeatable(self, host, path):
         """Return whether the configuration has a route for the request, which may be repeated."""
         if not self._has_cluster_state():
--- a/figfold/gateway/requests.py
+++ b/figfold/gateway/requests.py
@@ -21,6 +21,8 @@
         Object that the request concerns, or an empty string.
     fingerprint : str
         Hash of what the request asks for; equal for requests for the same work.
+    key_digest : str
+        Digest of the caller's API key, or an empty string.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     caller_deadline_s: float
     key: str
     fingerprint: str
+    key_digest: str = ""
 
     def deadline_s(self, route):
         """Return when the final answer is due, in monotonic seconds."""
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -50,6 +50,7 @@
     operator_version: int | None = None
     late_rows: int = 0
     outage: OutageTracker = field(factory=OutageTracker)
+    _is_configuration_readable: bool = True
     _retry_pause_s: float = RETRY_PAUSE_S
     _reported_messages: set = field(factory=set)
 
@@ -72,7 +73,10 @@
         self.operator_version = rows.version
         self._report_unreadable_rows(rows.failures)
         self._apply_operator_rows(read_operator_rows(rows.rows), is_full, rows.version)
-        self.cluster.operator_read_s = now_s()
+        # The store has waited for all of the time if there was no change, but no longer. An answer
+        # with a change may have been written at once.
+        has_waited = not rows.rows and not is_full and now_s() - started >= wait_s
+        self._confirm_operator_rows(started + wait_s if has_waited else started)
         if self.cluster.configuration is not None:
             self.on_confirmed(self.cluster.configuration.version, started)
         return 0.0
@@ -89,7 +93,12 @@
         self.operator_version = rows.version
         self._report_unreadable_rows(rows.failures)
         self._apply_operator_rows(read_operator_rows(rows.rows), is_full, rows.version)
-        self.cluster.operator_read_s = max(self.cluster.operator_read_s, started)
+        self._confirm_operator_rows(started)
+
+    def _confirm_operator_rows(self, read_s):
+        """Record when the operator's rows were read, unless the configuration was unreadable."""
+        if self._is_configuration_readable:
+            self.cluster.operator_read_s = max(self.cluster.operator_read_s, read_s)
 
     def skip_operator_changes(self, store_version):
         """Skip the changes up to a version in the next read, since a peer has sent them."""
@@ -97,6 +106,9 @@
 
     def _apply_operator_rows(self, changes, is_full, store_version):
         self._report_unreadable_rows(changes.failures)
+        if changes.has_configuration:
+            # The one in force then holds keys that may have been withdrawn.
+            self._is_configuration_readable = changes.configuration is not None
         if changes.configuration is not None:
             self.cluster.apply_configuration(
                 changes.configuration, changes.configuration_text, "store"
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -282,7 +282,8 @@
         self.cluster.servers_read_s = max(self.cluster.servers_read_s, servers_read_s)
         if reply.configuration_version > self._configuration_version():
             self._needs_operator_rows = True
-        else:
+        elif reply.configuration_version == self._configuration_version():
+            # A peer with an earlier configuration confirms nothing about the one in force.
             self.cluster.operator_read_s = max(self.cluster.operator_read_s, operator_read_s)
             self.store_reader.skip_operator_changes(changes.evacuations_version)
         if not is_fresh:
--- a/figfold/platform/decoding.py
+++ b/figfold/platform/decoding.py
@@ -11,6 +11,7 @@
 from figfold.core.addresses import parse_address
 from figfold.core.codes import Code, Failure
 from figfold.core.names import is_name
+from figfold.core.organisations.organisation import Organisation, key_digest, shared_keys
 from figfold.core.traffic.configuration import (
     CallerLimits,
     Configuration,
@@ -33,6 +34,10 @@
 MAX_NUMBER = 1e9
 MAX_TEXT_CHARS = 2000
 MAX_NESTING = 64
+ORGANISATIONS = "tenants"
+API_KEYS = "apiKeys"
+# The same keys as entries pass them on to each other.
+KEY_DIGESTS = "apiKeyDigests"
 VERSION_PATTERN = re.compile("r[0-9]{1,18}")
 
 
@@ -124,12 +129,16 @@
         route_by_name = {
             name: _route(name, item) for name, item in _object(value, "routes").items()
         }
+        organisation_by_name, failures = _organisations(value)
         return Ok(
             Configuration(
                 version=_version(value.get("version")),
                 route_by_name=route_by_name,
                 service_by_name=service_by_name,
                 limits=_limits(value),
+                organisation_by_name=organisation_by_name,
+                has_organisations=value.get(ORGANISATIONS) is not None,
+                failures=failures,
             )
         )
     except FieldError as error:
@@ -137,6 +146,78 @@
         return Err(Failure(Code.STORE_BAD_ANSWER, message, REMEDY))
 
 
+def replace_keys(value):
+    """Return the value of a configuration row with digests in place of API keys."""
+    organisations = value.get(ORGANISATIONS)
+    if not isinstance(organisations, dict):
+        return value
+    replaced = {}
+    for name, item in organisations.items():
+        try:
+            digests = sorted(_key_digests(item))
+        except FieldError:
+            # It is left out where it is read, and must not reach a peer with a key in it.
+            replaced[name] = None
+            continue
+        other = {one: found for one, found in item.items() if one != API_KEYS}
+        replaced[name] = other | {KEY_DIGESTS: digests}
+    return value | {ORGANISATIONS: replaced}
+
+
+def _organisations(value):
+    """Return the valid organisations by name, and a failure for each invalid one or shared key."""
+    if value.get(ORGANISATIONS) is None:
+        return {}, ()
+    organisation_by_name, failures = {}, []
+    for name, item in _object(value, ORGANISATIONS).items():
+        try:
+            organisation_by_name[name] = _organisation(name, item)
+        except FieldError as error:
+            message = f"invalid organisation {name[:60]!r}: {error}"
+            failures.append(Failure(Code.STORE_BAD_ANSWER, message, REMEDY))
+    for _, names in shared_keys(organisation_by_name.values()):
+        message = f"organisations {', '.join(names)} hold the same API key; it is not accepted"
+        failures.append(Failure(Code.STORE_BAD_ANSWER, message, "give each its own key"))
+    return organisation_by_name, tuple(failures)
+
+
+def _organisation(name, item):
+    return Organisation(
+        name=_checked_name(name, "name"),
+        key_digests=frozenset(_key_digests(item)),
+        priority=_integer(item, "priority", 0) if item.get("priority") is not None else None,
+        rate_per_s=_number(item, "ratePerS", 0.0) if item.get("ratePerS") else 0.0,
+        burst=_number(item, "burst", 0.0) if item.get("burst") else 0.0,
+        home_regions=_home_regions(item),
+    )
+
+
+def _key_digests(item):
+    if not isinstance(item, dict):
+        raise FieldError("it is not an object")
+    digests = [key_digest(one) for one in _texts(item, API_KEYS)]
+    return digests + _texts(item, KEY_DIGESTS)
+
+
+def _texts(item, name):
+    """Return a list of non-empty texts, whose contents no message may show."""
+    found = item.get(name)
+    if found is None:
+        return []
+    if not isinstance(found, list) or not all(isinstance(one, str) and one for one in found):
+        raise FieldError(f"{name} is not a list of non-empty strings")
+    if any(len(one) > MAX_TEXT_CHARS for one in found):
+        raise FieldError(f"{name} has a text of more than {MAX_TEXT_CHARS} characters")
+    return found
+
+
+def _home_regions(item):
+    homes = item.get("homeRegions") or []
+    if not isinstance(homes, list) or not all(isinstance(one, str) for one in homes):
+        raise FieldError("homeRegions is not a list of names")
+    return frozenset(homes)
+
+
 def decode_server(server_id, value, known_services=None, row_version=0):
     """Return Ok(ServerRecord) from the value of a backend server's row.
 
@@ -189,9 +270,6 @@
 def _route(name, item):
     kind = _text(item, "kind")
     timeout_s = _number(item, "timeoutS", 0.0)
-    homes = item.get("homeRegions") or []
-    if not isinstance(homes, list) or not all(isinstance(one, str) for one in homes):
-        raise FieldError("homeRegions is not a list of names")
     return Route(
         name=name,
         host=_text(item, "host").lower(),
@@ -206,7 +284,8 @@
         priority=_integer(item, "priority", 0) if "priority" in item else 0,
         max_attempts=_integer(item, "maxAttempts", 1) if "maxAttempts" in item else 1,
         is_sticky=item.get("sticky") is True,
-        home_regions=frozenset(homes),
+        home_regions=_home_regions(item),
+        allows_anonymous=item.get("allowAnonymous") is True,
     )
 
 
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from figfold.core.organisations.organisation import key_digest
 from figfold.core.traffic.server_load import LoadReport
 
 REQUEST_ID = "Attempt-Id"
@@ -12,6 +13,9 @@
 # Identifies the object that a request concerns, not the caller.
 OBJECT_KEY = "Affinity-Key"
 SERVER_ID = "Target-Instance"
+API_KEY = "X-Api-Key"
+# Name of the organisation for which a request runs, for the backend server.
+ORGANISATION = "Tenant"
 ANSWERING_SERVER = "Instance-Id"
 SEAL = "Response-Seal"
 LOAD = "Instance-Load"
@@ -42,11 +46,14 @@
         How long the caller waits for the answer; None if the header is missing or invalid.
     key : str
         Id of the object that the request concerns, or an empty string.
+    key_digest : str
+        Digest of the caller's API key, or an empty string.
     """
 
     request_id: str
     time_left_s: float | None
     key: str
+    key_digest: str = ""
 
 
 @frozen
@@ -109,9 +116,25 @@
         request_id=get(REQUEST_ID) or "",
         time_left_s=_parse_seconds(get(DEADLINE)),
         key=get(OBJECT_KEY) or "",
+        key_digest=key_digest(get(API_KEY) or ""),
     )
 
 
+def with_organisation(headers, organisation):
+    """Return the headers of a request for a backend server, where organisations are configured.
+
+    Parameters
+    ----------
+    headers : tuple[tuple[str, str], ...]
+        Without those of the connection.
+    organisation : str or None
+        Name that the server is told in place of the API key; None for an anonymous caller.
+    """
+    names = (API_KEY.lower(), ORGANISATION.lower())
+    kept = tuple(one for one in headers if one[0].lower() not in names)
+    return kept if organisation is None else (*kept, (ORGANISATION, organisation))
+
+
 def server_headers(server_id, time_left_s):
     """Return the headers that the entry adds to a request to a backend server."""
     left_ms = max(MIN_DEADLINE_MS, int(time_left_s * MS_PER_S))
--- a/figfold/platform/tables.py
+++ b/figfold/platform/tables.py
@@ -1,5 +1,7 @@
 """Decodes the store's tables: configuration and evacuations, backend servers, and entries."""
 
+import json
+
 from attrs import frozen
 from result import Err
 
@@ -13,6 +15,7 @@
     decode_configuration,
     decode_server,
     parse_json,
+    replace_keys,
 )
 from figfold.platform.rows import CONFIGURATION_KEY, EVACUATION_PREFIX
 
@@ -25,10 +28,13 @@
     ----------
     configuration : Configuration or None
         The configuration, if its row was among them and is valid.
+    has_configuration : bool
+        Whether the configuration's row was among them, valid or not.
     evacuation_by_place : dict[str, bool]
         Whether a data centre is being evacuated, for each one that has a row among them.
     configuration_text : bytes
-        The JSON text of the configuration, to be passed on to other entries.
+        The JSON text of the configuration, to be passed on to other entries; it holds digests in
+        place of API keys.
     failures : tuple[Failure, ...]
         One for each row that is invalid.
     """
@@ -37,6 +43,7 @@
     configuration_text: bytes
     evacuation_by_place: dict
     failures: tuple = ()
+    has_configuration: bool = False
 
 
 @frozen
@@ -70,14 +77,17 @@
 def read_operator_rows(rows):
     """Return the `OperatorUpdate` for rows of the operator's table, in the store's order."""
     configuration, text, evacuation_by_place, failures = None, b"", {}, []
+    has_configuration = False
     for row in rows:
         if row.key == CONFIGURATION_KEY and not row.is_removed:
+            has_configuration = True
             read = decode_configuration(row.value)
             if read.is_err():
                 failures.append(read.err())
             else:
                 configuration = read.ok()
-                text = row.data
+                failures += configuration.failures
+                text = _text_without_keys(row, configuration)
         elif row.key.startswith(EVACUATION_PREFIX):
             place = row.key[len(EVACUATION_PREFIX) :]
             if is_name(place):
@@ -85,7 +95,15 @@
             else:
                 message = f"evacuation of {place[:60]!r}, which is not a name"
                 failures.append(Failure(Code.STORE_BAD_ANSWER, message))
-    return OperatorUpdate(configuration, text, evacuation_by_place, tuple(failures))
+    return OperatorUpdate(
+        configuration, text, evacuation_by_place, tuple(failures), has_configuration
+    )
+
+
+def _text_without_keys(row, configuration):
+    if not configuration.has_organisations:
+        return row.data
+    return json.dumps(replace_keys(row.value), separators=(",", ":")).encode()
 
 
 def decode_configuration_text(text):
--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -75,7 +75,7 @@
 
 
 class EntrySettingsTest(unittest.TestCase):
-    BOUNDS = ("retryBudgetRatio", "retrySlack", "budgetWindowS", "graceS")
+    BOUNDS = ("retryBudgetRatio", "retrySlack", "budgetWindowS", "graceS", "revokeS")
 
     def test_template_uses_every_bound_that_differs_between_deployments(self):
         template = (ROOT / "deploy" / "entry.ini").read_text(encoding="utf-8")
@@ -86,6 +86,7 @@
         template = (ROOT / "deploy" / "entry.ini").read_text(encoding="utf-8")
         text = template.replace("{{bounds.retryBudgetRatio}}", "0.15")
         text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "[place a]\nregion = r", text, flags=re.S)
+        text = re.sub(r"\{\{[#/][^}]*\}\}\n", "", text)
         text = text.replace("{{zone}}", "a").replace("{{nodeName}}", "n")
         text = re.sub(r"= \{\{(listen|platform)[^}]*\}\}", "= 127.0.0.1:80", text)
         text = text.replace("{{ipAddress}}:{{internalPorts.0}}", "127.0.0.1:81")
@@ -97,6 +98,7 @@
             settings = load_gateway_settings(path)
         self.assertTrue(settings.is_ok(), settings)
         self.assertEqual(settings.unwrap().retry_ratio, 0.15)
+        self.assertEqual(settings.unwrap().revocation_bound_s, 7.0)
 
 
 class ServerRowTest(unittest.TestCase):
