Read a server's heartbeat in 33 instead of 57 us

One entry of each region reads all heartbeats of all servers: at 300 entries it works at 27.7 % of a core and the middle one at 3.9. Of a row's cost, parsing its address and the look for deep nesting took a third, comparing it with the known row another third. 3,000 rows, one process: decoding 32 to 19 us, applying 18.6 to 8.3 us, decoding of the item 5.8 us as before.

--- a/figfold/core/addresses.py
+++ b/figfold/core/addresses.py
@@ -1,12 +1,15 @@
 """Addresses of the form ``host:port`` whose host is an IP address."""
 
 import re
+from functools import lru_cache
 from ipaddress import ip_address
 
 HIGHEST_PORT = 65535
 PORT_PATTERN = re.compile("[0-9]{1,5}")
 
 
+# Servers repeat their address in each heartbeat.
+@lru_cache(maxsize=8192)
 def parse_address(text, lowest_port=1):
     """Return the address in its canonical form, or None if it is not valid.
 
--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -428,7 +428,15 @@
 
 
 def _without_version(record):
-    return evolve(record, row_version=0, cold_remaining_s=0.0, sequence=None)
+    return (
+        record.service,
+        record.address,
+        record.place,
+        record.slots,
+        record.is_leaving,
+        record.started_ms,
+        record.software_version,
+    )
 
 
 def _with_remaining_cold_time(server, now_s):
--- a/figfold/platform/decoding.py
+++ b/figfold/platform/decoding.py
@@ -83,7 +83,11 @@
         value = json.loads(data)
     except (ValueError, RecursionError) as error:
         raise FieldError(f"not valid JSON: {error}") from error
-    # A deeper value could be read here and fail elsewhere, where more of the stack is in use.
+    # A deeper value could be read here and fail elsewhere, where more of the stack is in use. Most
+    # rows are heartbeats, which have too few brackets for that.
+    opening = (b"{", b"[") if isinstance(data, bytes) else ("{", "[")
+    if sum(data.count(one) for one in opening) <= MAX_NESTING:
+        return value
     level = [value]
     for _ in range(MAX_NESTING):
         level = [inner for outer in level for inner in _inner_values(outer)]
