Let callers of the process soak belong to organisations

Their keys are replaced while some requests still carry the former one; the run checks what servers are told, requests with withdrawn keys, and the limit of one organisation.

--- a/bench/platform_deployment.py
+++ b/bench/platform_deployment.py
@@ -39,7 +39,7 @@
     count: int
 
 
-def make_configuration(version, routes):
+def make_configuration(version, routes, organisations=None):
     """Return the value of the operator's row.
 
     Parameters
@@ -47,15 +47,18 @@
     version : int
     routes : dict[str, dict]
         Fields of each route by name, which override the common ones.
+    organisations : dict[str, dict] or None
+        Fields of each organisation by name; None configures no organisations.
     """
     common = {"host": HOST, "targetLatencyS": 0.3, "priority": 1, "maxAttempts": 2, "sticky": True}
     services = {route["service"] for route in routes.values()}
-    return {
+    configuration = {
         "version": f"r{version}",
         "routes": {name: common | route for name, route in routes.items()},
         "services": {name: {"coldPerS": 2.6} for name in sorted(services)},
         "limits": {},
     }
+    return configuration if organisations is None else configuration | {"tenants": organisations}
 
 
 class PlatformDeployment:
--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -4,6 +4,9 @@
 refusals twice and end within the head of an answer. Another writer leaves rows among theirs that
 name no server, and overwrites rows of servers that are up.
 
+Callers may belong to organisations, whose API keys are withdrawn while callers still use them. One
+organisation sends more than its limit.
+
 Callers use their open connections until these are closed. Signals, restarts, changes of the
 configuration and outages of the store come in series and overlap.
 """
@@ -33,6 +36,17 @@
 PAUSE_S = 0.02  # Of a caller between two requests.
 CALL_TIMEOUT_S = 4.0
 MIN_SERVERS_PER_SERVICE = 6
+# Bounds of the rules on organisations.
+ORGANISATIONS = 4
+LIMITED_ORGANISATION = "o1"
+RATE_PER_S = 6
+BURST = 6
+QUOTA_WINDOW_S = 5.0
+QUOTA_FACTOR = 1.1
+QUOTA_SLACK = 20
+REVOCATION_BOUND_S = 5.0
+# Of the requests of an organisation, those that carry its former key.
+FORMER_KEY_SHARE = 0.2
 # Bounds of the rules on what servers state in their answers.
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
@@ -73,10 +87,10 @@
 REFUSALS = frozenset({408, 421, 429, 503})
 
 
-def _configuration(version):
+def _configuration(version, organisations=None):
     reads = {"kind": "safe", "timeoutS": 1.5, "service": "stockview", "prefix": "/read/"}
     books = {"kind": "non_idempotent", "timeoutS": 1.5, "service": "cutdesk", "prefix": "/book/"}
-    return make_configuration(version, {"read": reads, "book": books})
+    return make_configuration(version, {"read": reads, "book": books}, organisations)
 
 
 @define(eq=False)
@@ -102,6 +116,11 @@
     deployment: PlatformDeployment
     seed: int
     duration_s: float
+    # Former keys of each organisation, the one in force last; empty without organisations.
+    keys_by_organisation: dict = Factory(dict)
+    withdrawn_s_by_key: dict = Factory(dict)
+    # Organisation, key and start of each request.
+    sent_by_request: dict = Factory(dict)
     random: Random = field(init=False)
     entry_by_name: dict = Factory(dict)
     disturbed_s_by_entry: dict = Factory(dict)
@@ -110,6 +129,7 @@
     left_s_by_server: dict = Factory(dict)
     announced: set = Factory(set)
     limit_spans: list = Factory(list)
+    entry_options: dict = Factory(dict)
     calls: list = Factory(list)
     violations: list = Factory(list)
     counts: Counter = field(factory=Counter)
@@ -129,7 +149,9 @@
         return Random(f"{self.seed}/{name}")
 
     @classmethod
-    def from_sizes(cls, seed, duration_s, entries_per_place, servers_per_place):
+    def from_sizes(
+        cls, seed, duration_s, entries_per_place, servers_per_place, has_organisations=False
+    ):
         """Start the deployment of a run."""
         servers = [
             ServiceServers(service, place, servers_per_place)
@@ -138,10 +160,17 @@
         ]
         deployment = PlatformDeployment(REGION_BY_PLACE, servers, _configuration(1))
         soak = cls(deployment, seed, duration_s)
+        options = {}
+        if has_organisations:
+            names = [f"o{number}" for number in range(ORGANISATIONS)]
+            soak.keys_by_organisation = {one: [f"{one}-key-1"] for one in names}
+            options = {"revocation_bound_s": REVOCATION_BOUND_S}
+            soak._write_configuration()
         for place in REGION_BY_PLACE:
             for number in range(entries_per_place):
                 name = f"{place}-{number}"
-                soak.entry_by_name[name] = deployment.start_entry_process(name, place)
+                soak.entry_by_name[name] = deployment.start_entry_process(name, place, **options)
+        soak.entry_options = options
         for entry in soak.entry_by_name.values():
             entry.wait_ready()
         return soak
@@ -156,6 +185,7 @@
             thread.wait()
         self._check_calls()
         self._check_notices()
+        self._check_organisations()
         self._check_processes()
         self.deployment.stop()
         return self.violations
@@ -192,6 +222,8 @@
             self._write_odd_row: 6,
             self._remove_odd_row: 2,
         }
+        if self.keys_by_organisation:
+            weight_by_event[self._withdraw_key] = 4
         (event,) = self.random.choices(list(weight_by_event), list(weight_by_event.values()))
         self.counts[event.__name__.strip("_")] += 1
         event()
@@ -343,7 +375,9 @@
         eventlet.sleep(self._random_of_restart().choice((0.0, 0.3, 10.0)))
         if time.monotonic() >= self._ends_s:
             return
-        self.entry_by_name[name] = self.deployment.start_entry_process(name, entry.place)
+        self.entry_by_name[name] = self.deployment.start_entry_process(
+            name, entry.place, **self.entry_options
+        )
         self._disturb(name)
         self._stopping.discard(name)
 
@@ -362,7 +396,28 @@
     def _change_configuration(self):
         if not self.deployment.rows.is_down:
             self._version += self.random.randrange(1, 4)
-            self.deployment.rows.put("op", "config", _configuration(self._version))
+            self._write_configuration()
+
+    def _write_configuration(self):
+        organisations = {
+            name: {"apiKeys": keys[-1:]} for name, keys in self.keys_by_organisation.items()
+        }
+        if organisations:
+            limit = {"ratePerS": RATE_PER_S, "burst": BURST}
+            organisations[LIMITED_ORGANISATION] |= limit
+        configuration = _configuration(self._version, organisations or None)
+        self.deployment.rows.put("op", "config", configuration)
+
+    def _withdraw_key(self):
+        """Give an organisation another key in place of its former one."""
+        if self.deployment.rows.is_down:
+            return
+        name = self.random.choice(sorted(self.keys_by_organisation))
+        keys = self.keys_by_organisation[name]
+        keys.append(f"{name}-key-{len(keys) + 1}")
+        self._version += 1
+        self._write_configuration()
+        self.withdrawn_s_by_key[keys[-2]] = time.monotonic()
 
     def _stop_store(self):
         if not self.deployment.rows.is_down:
@@ -383,7 +438,7 @@
         sent, connection, entry = 0, None, None
         source = self._random_of(f"caller-{number}")
         while time.monotonic() < self._ends_s:
-            if number % AHEAD_CALLERS == 0:
+            if number % AHEAD_CALLERS == 0 and not self.keys_by_organisation:
                 sent += 1
                 self._call_ahead(f"a{number}-{sent}", source)
                 continue
@@ -394,12 +449,21 @@
                 )
             sent += 1
             key = str(source.randrange(40))
-            is_open = self._call(connection, entry, f"c{number}-{sent}", key, sent % 3 == 0)
+            request_id = f"c{number}-{sent}"
+            self._draw_key(request_id, number, source)
+            is_open = self._call(connection, entry, request_id, key, sent % 3 == 0)
             if not is_open:
                 connection.close()
                 connection = None
             eventlet.sleep(PAUSE_S)
 
+    def _draw_key(self, request_id, caller, source):
+        if self.keys_by_organisation:
+            name = f"o{caller % ORGANISATIONS}"
+            is_former = source.random() < FORMER_KEY_SHARE
+            key = self.keys_by_organisation[name][-2 if is_former else -1 :][0]
+            self.sent_by_request[request_id] = (name, key, time.monotonic())
+
     def _call_ahead(self, name, source):
         """Send several reads on a new connection before the first is answered."""
         entry = source.choice(sorted(self.entry_by_name.values(), key=_name_of))
@@ -429,6 +493,8 @@
             "Affinity-Key": key,
             "Deadline-Ms": "2000",
         }
+        if request_id in self.sent_by_request:
+            headers |= {"X-Api-Key": self.sent_by_request[request_id][1], "Tenant": "forged"}
         method, path = ("POST", "/book/1") if is_booking else ("GET", "/read/1")
         status, is_open = CLOSED, False
         try:
@@ -499,6 +565,31 @@
                     " after it left"
                 )
 
+    def _check_organisations(self):
+        """Check what servers were told, and when they ran requests with withdrawn keys."""
+        arrivals_s = []
+        for endpoint in self.deployment.endpoint_by_id.values():
+            for _, headers, _ in endpoint.heads:
+                request_id = headers.get("attempt-id")
+                if request_id not in self.sent_by_request or not endpoint.runs[request_id]:
+                    continue
+                name, key, sent_s = self.sent_by_request[request_id]
+                if headers.get("tenant") != name or "x-api-key" in headers:
+                    self.violations.append(f"{request_id} of {name} ran as {headers.get('tenant')}")
+                late_s = sent_s - self.withdrawn_s_by_key.get(key, inf)
+                self.counts["withdrawn keys used"] += late_s > 0.0
+                if late_s > REVOCATION_BOUND_S:
+                    self.violations.append(f"{request_id} ran {late_s:.1f} s after {key} went")
+                if name == LIMITED_ORGANISATION:
+                    arrivals_s.append(endpoint.arrived_s_by_request[request_id])
+        arrivals_s.sort()
+        most = (RATE_PER_S * QUOTA_WINDOW_S + BURST) * QUOTA_FACTOR + QUOTA_SLACK
+        for start_s in arrivals_s:
+            inside = sum(start_s <= one < start_s + QUOTA_WINDOW_S for one in arrivals_s)
+            if inside > most:
+                self.violations.append(f"{inside} requests of {LIMITED_ORGANISATION} in a window")
+                return
+
     def _check_processes(self):
         for name, entry in self.entry_by_name.items():
             if name not in self._stopping and entry.child.poll() is not None:
@@ -557,20 +648,33 @@
     return entry.name
 
 
-def play(seed, duration_s=20.0, entries_per_place=2, servers_per_place=4, callers=12):
+def play(
+    seed,
+    duration_s=20.0,
+    entries_per_place=2,
+    servers_per_place=4,
+    callers=12,
+    has_organisations=False,
+):
     """Play the run of a seed; return its violations and the counts of what happened."""
-    soak = ProcessSoak.from_sizes(seed, duration_s, entries_per_place, servers_per_place)
+    soak = ProcessSoak.from_sizes(
+        seed, duration_s, entries_per_place, servers_per_place, has_organisations
+    )
     violations = soak.run(callers)
     return violations, soak.counts
 
 
 def main(arguments):
-    """Play the seeds from the first to the last one given; print each violation."""
-    first, last = int(arguments[0]), int(arguments[1])
-    sizes = [int(one) for one in arguments[2:]]
+    """Play the seeds from the first to the last one given; print each violation.
+
+    The word ``organisations`` among the arguments gives callers API keys.
+    """
+    has_organisations = "organisations" in arguments
+    numbers = [int(one) for one in arguments if one != "organisations"]
+    first, last, *sizes = numbers
     failed = 0
     for seed in range(first, last + 1):
-        violations, counts = play(seed, *sizes)
+        violations, counts = play(seed, *sizes, has_organisations=has_organisations)
         failed += bool(violations)
         print(f"seed {seed}: {len(violations)} violations", dict(counts), flush=True)
         for one in violations[:5]:
