Control admission while a service is short of room

Under a shortage each request went into the queue of a full server.

The setting `admission` is off by default, and off changes nothing.

--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -22,6 +22,8 @@
         The region of each data centre.
     revocation_bound_s : float
         Longest time for which a withdrawn API key may be accepted; 0 sets no bound.
+    admission : bool
+        Whether requests are held or refused while a service is short of room.
     """
 
     name: str
@@ -45,6 +47,7 @@
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
+    admission: bool = False
 
     @property
     def region(self):
@@ -76,6 +79,7 @@
             region_by_place=region_by_place,
             peers=peers,
             log=log,
+            admission=section.choice("admission", ("on", "off")) == "on",
         )
 
 
--- /dev/null
+++ b/figfold/core/admission/shortage.py
@@ -0,0 +1,93 @@
+"""Detects with hysteresis whether a service is short of room for this entry's requests."""
+
+from math import inf
+
+from attrs import Factory, define
+
+from figfold.core.admission.demand import DecayedSum
+
+# Time constant with which attempts lose their weight.
+WINDOW_S = 1.0
+# Share of pressed attempts above which a service is short, and below which it no longer is.
+ENTER_SHARE = 0.3
+LEAVE_SHARE = 0.1
+# Least weight of recent attempts that shows a shortage. An entry may send a small service only two
+# or three requests a second.
+MIN_ATTEMPTS = 1.5
+# Time for which nothing must have waited at the entry before a shortage ends. An entry with few
+# requests often has an empty queue while the service is still short.
+LEAVE_AFTER_S = 2.0
+# Waiting requests below this number never count as a crowded server, because a server with an
+# empty queue leaves slots unused between two requests.
+MIN_CROWDED_WAITING = 2
+# A server is crowded if the wait for a slot takes up more than this part of what the target latency
+# leaves after the run. The rest is left for the wait at the entry.
+CROWDED_FRACTION = 0.5
+
+
+@define
+class ShortageDetector:
+    """Whether a service is short of room, from the recent attempts; times are monotonic seconds.
+
+    An attempt is pressed if the server rejected it as full, or if its queue takes up too much of
+    what the target latency leaves.
+
+    Attributes
+    ----------
+    backlogged_s : float
+        When requests last waited at the entry, or the shortage began.
+    """
+
+    is_short: bool = False
+    backlogged_s: float = -inf
+    _attempts: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
+    _pressed: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
+
+    def observe(self, is_pressed, now_s):
+        """Count an attempt."""
+        self._attempts.add(1.0, now_s)
+        if is_pressed:
+            self._pressed.add(1.0, now_s)
+
+    def pressed_share(self, now_s):
+        """Return the share of pressed attempts; 0 if there are too few attempts to tell."""
+        attempts = self._attempts.value(now_s)
+        return self._pressed.value(now_s) / attempts if attempts >= MIN_ATTEMPTS else 0.0
+
+    def update(self, is_backlogged, now_s):
+        """Update ``is_short``; return whether it changed.
+
+        Parameters
+        ----------
+        is_backlogged : bool
+            Whether requests wait at this entry. Attempts that a limit holds down show no shortage,
+            so that a service stays short until nothing has waited for a while.
+        """
+        if is_backlogged:
+            self.backlogged_s = now_s
+        share = self.pressed_share(now_s)
+        if self.is_short:
+            is_short = now_s - self.backlogged_s < LEAVE_AFTER_S or share > LEAVE_SHARE
+        else:
+            is_short = share > ENTER_SHARE
+        if is_short == self.is_short:
+            return False
+        self.is_short = is_short
+        self.backlogged_s = now_s
+        return True
+
+
+def is_crowded(report, run_s, target_latency_s):
+    """Return whether the wait at a server takes up too much of what the target latency leaves.
+
+    Parameters
+    ----------
+    report : LoadReport
+    run_s : float
+        Usual run time of the request on a machine at usual speed.
+    """
+    if report.waiting < MIN_CROWDED_WAITING:
+        return False
+    run_s *= max(1.0, report.slowdown)
+    wait_s = report.waiting * run_s / max(1, report.slots)
+    return wait_s > CROWDED_FRACTION * (target_latency_s - run_s)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -486,6 +486,7 @@
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
                 ("connections_opened", {}, self.connections.opened),
                 ("log_lines_dropped", {}, self.event_log.total_dropped),
+                *self.request_runner.admission.gauges(),
             )
         )
 
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -48,7 +48,7 @@
     runner : RequestRunner
         State that all requests share.
     events : LightQueue
-        `AttemptEnded`, `CALLER_DISCONNECTED` and `DEADLINE_CHANGED`.
+        `AttemptEnded`, `ADMITTED`, `CALLER_DISCONNECTED` and `DEADLINE_CHANGED`.
     tried : set[str]
         Servers that the request was sent to.
     tried_addresses : set[str]
@@ -65,6 +65,8 @@
         Whose API key the request carries; None for an anonymous caller.
     home_regions : frozenset[str]
         The only regions in which the request may run; empty if all are allowed.
+    admission : RequestAdmission or None
+        Admission control of the service; None if it is off.
     """
 
     runner: object
@@ -74,6 +76,7 @@
     configuration: object
     organisation: object = None
     home_regions: frozenset = frozenset()
+    admission: object = None
     events: LightQueue = Factory(LightQueue)
     attempt_by_id: dict = Factory(dict)
     progress: RequestProgress = Factory(RequestProgress)
@@ -104,6 +107,9 @@
 
     def execute(self):
         """Run the request; return Ok(ServerAnswer) or Err(RequestFailure)."""
+        failure = self.admission.wait(self) if self.admission is not None else None
+        if failure is not None:
+            return Err(failure)
         if not self._start_attempt(is_hedge=False):
             return self._refuse_not_sent()
         while True:
@@ -124,6 +130,18 @@
             if final is not None:
                 return final
 
+    def reason_not_to_start(self):
+        """Return why the request may no longer start after a wait, as a RequestFailure, or None."""
+        runner = self.runner
+        if runner.quarantine.is_quarantined(self.request.fingerprint, now_s()):
+            return RequestFailure(Code.QUARANTINED, True, "quarantined")
+        if not self.route.is_repeatable and (
+            self.request.deadline_s(self.route) > runner.answers_until_s
+        ):
+            # It might still run when the entry ends, and its caller could not send it again.
+            return RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0)
+        return None
+
     def cancel_all(self):
         """Cancel all attempts in progress and close their connections."""
         for attempt_id, attempt in list(self.attempt_by_id.items()):
@@ -143,6 +161,8 @@
         if choice is None:
             self._explain_missing_choice(now)
             return False
+        if self.admission is not None:
+            self.admission.observe_start(choice, self.route, now)
         if choice.expected_s > self.deadline_s - now and not self.progress.started_attempts:
             self._log(
                 "too-late",
@@ -288,6 +308,7 @@
             return None
         result = event.result
         self._update_estimates(event.attempt_id, attempt, result)
+        self._observe_for_admission(attempt, result)
         may_have_run = result.outcome in (AttemptOutcome.FAILED, AttemptOutcome.ERROR_ANSWERED)
         reached = result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT)
         self.progress = evolve(
@@ -372,6 +393,11 @@
         if result.code is not Code.OK:
             runner.metrics.count_code(result.code, service=self.service)
 
+    def _observe_for_admission(self, attempt, result):
+        if self.admission is not None:
+            warm_s = self.runner.route_durations(self.route, self.service).warm_s()
+            self.admission.observe_end(attempt.choice, self.route, warm_s, result, now_s())
+
     def _record_reset(self, server_id, is_fresh, now):
         runner = self.runner
         fingerprint = self.request.fingerprint
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -14,6 +14,7 @@
 from figfold.core.traffic.limiters import OverflowLimiter, RetryBudget
 from figfold.core.traffic.reset_watch import ResetWatch
 from figfold.entry.clock import now_s
+from figfold.gateway.admission import AdmissionControl
 from figfold.gateway.request_run import RETRY_AFTER_S, RequestRun
 from figfold.gateway.requests import CALLER_DISCONNECTED, DEADLINE_CHANGED, RequestFailure
 from figfold.platform.headers import with_organisation
@@ -54,6 +55,9 @@
     log: object
     settings: object
     on_suspected_crash: object
+    admission: AdmissionControl = Factory(
+        lambda self: AdmissionControl(self.metrics, self.log), takes_self=True
+    )
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
     reset_watch: ResetWatch = Factory(ResetWatch)
     answers_until_s: float = inf
@@ -103,6 +107,8 @@
         run = RequestRun(
             self, request, route, service, configuration, organisation, home_regions=homes
         )
+        if self.settings.admission:
+            run.admission = self.admission.for_request(service)
         stop_watching = watch_caller(lambda: run.events.put(CALLER_DISCONNECTED))
         self._runs.add(run)
         try:
@@ -111,6 +117,8 @@
             self._runs.discard(run)
             stop_watching()
             run.cancel_all()
+            if run.admission is not None:
+                run.admission.end()
 
     def decide_access(self, configuration, route, digest):
         """Return the `AccessDecision` for a request now; see `decide_access` of the core."""
@@ -165,6 +173,8 @@
             budget.window_s = settings.retry_window_s
             budget.ratio = settings.retry_ratio
             budget.slack = settings.retry_slack
+        if not settings.admission:
+            self.admission.switch_off()
 
     def route_durations(self, route, service):
         """Return the estimated run times of a route's requests at a service."""
--- a/figfold/gateway/requests.py
+++ b/figfold/gateway/requests.py
@@ -73,9 +73,14 @@
     """Event: the caller has closed its connection."""
 
 
+class Admitted:
+    """Event: the request may be sent, after it has waited for admission."""
+
+
 class DeadlineChanged:
     """Event: the final answer is due earlier, because the entry is about to end."""
 
 
+ADMITTED = Admitted()
 CALLER_DISCONNECTED = CallerDisconnected()
 DEADLINE_CHANGED = DeadlineChanged()
