List the addresses of entries once for each change again

Since an entry can leave itself out of a look-up, each look-up made a new list of addresses, and LookUpTest failed.

--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -228,7 +228,9 @@
                     for area in (("place", entry.place), ("region", own_region), None):
                         self._addresses_near.setdefault(area, []).append(entry.address)
         for area in (("place", place), ("region", region), None):
-            addresses = [one for one in self._addresses_near.get(area, ()) if one != without]
+            addresses = self._addresses_near.get(area, ())
+            if without in addresses:
+                addresses = [one for one in addresses if one != without]
             if addresses:
                 return addresses
         return []
