Let the shares of requests between regions follow demand and free capacity

A region served min(1, 1.3 x its share of slots / its equal share of demand) of its objects, whatever the demand. One with a tenth of the slots and a third of the demand sent 61 % of its objects to other regions although its own slots were not full.

With region_balancing = on, entries state demand, run time and utilisation of each service in their reports. A request that no server of the region can answer in time, or that one has rejected, is offered to other regions; one that would be refused to all, up to 9 % of the requests.

--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -22,6 +22,8 @@
         The region of each data centre.
     revocation_bound_s : float
         Longest time for which a withdrawn API key may be accepted; 0 sets no bound.
+    region_balancing : bool
+        Whether the shares of requests between regions follow demand and free capacity.
     """
 
     name: str
@@ -45,6 +47,7 @@
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
+    region_balancing: bool = False
 
     @property
     def region(self):
@@ -76,6 +79,7 @@
             region_by_place=region_by_place,
             peers=peers,
             log=log,
+            region_balancing=section.choice("region_balancing", ("on", "off")) == "on",
         )
 
 
--- a/figfold/core/model.py
+++ b/figfold/core/model.py
@@ -5,6 +5,7 @@
 from attrs import Factory, field, frozen
 
 from figfold.core.blocks import BlockMap
+from figfold.core.regions.measurement import DemandStatement
 
 # Shares are integers in hundredths of a percent, so that sums are exact.
 FULL_SHARE = 10_000
@@ -187,12 +188,15 @@
     ----------
     room : int
         Further requests that the entry could dispatch at once.
+    demand : DemandStatement
+        What the entry measures of the service, for the balance between regions.
     """
 
     service: str
     in_progress: int
     queued: int
     room: int
+    demand: DemandStatement = DemandStatement()
 
 
 @frozen
--- a/figfold/core/traffic/limiters.py
+++ b/figfold/core/traffic/limiters.py
@@ -11,6 +11,9 @@
 # Fraction of an entry's requests within the window that may overflow to other regions.
 OVERFLOW_FRACTION = 0.06
 OVERFLOW_WINDOW_S = 2.0
+# Fraction, including these, up to which requests may overflow that would be refused otherwise.
+# Together with the steps of a region's shares it stays below 0.15 of the requests.
+LAST_RESORT_FRACTION = 0.09
 
 
 @define
@@ -66,15 +69,29 @@
         self._request_times_s.append(now_s)
         _drop_older(self._request_times_s, now_s - OVERFLOW_WINDOW_S)
 
-    def try_acquire(self, now_s):
+    def try_acquire(self, now_s, is_last_resort=False):
         """Count one request as overflowing; return whether the limit allowed it."""
-        _drop_older(self._request_times_s, now_s - OVERFLOW_WINDOW_S)
-        _drop_older(self._overflow_times_s, now_s - OVERFLOW_WINDOW_S)
-        if len(self._overflow_times_s) + 1 > OVERFLOW_FRACTION * len(self._request_times_s) + 1:
+        if not self.has_room(now_s, is_last_resort):
             return False
         self._overflow_times_s.append(now_s)
         return True
 
+    def has_room(self, now_s, is_last_resort=False):
+        """Return whether one more request may overflow.
+
+        Parameters
+        ----------
+        is_last_resort : bool
+            Whether the request would be refused otherwise.
+        """
+        _drop_older(self._request_times_s, now_s - OVERFLOW_WINDOW_S)
+        _drop_older(self._overflow_times_s, now_s - OVERFLOW_WINDOW_S)
+        requests = len(self._request_times_s)
+        allowed = OVERFLOW_FRACTION * requests + 1
+        if is_last_resort:
+            allowed = max(allowed, LAST_RESORT_FRACTION * requests)
+        return len(self._overflow_times_s) + 1 <= allowed
+
 
 @define
 class ColdServerLimiter:
--- a/figfold/core/traffic/placement.py
+++ b/figfold/core/traffic/placement.py
@@ -22,6 +22,9 @@
 
 # Number of candidate servers of other regions, when those of the object's region are full.
 OVERFLOW_CANDIDATES = 3
+# Number of candidate servers of each region for a request that would be refused otherwise. Fewer
+# than are kept for each object, so that one that may not be used does not lead to a look at all.
+LAST_RESORT_CANDIDATES = 4
 
 
 @define
@@ -33,10 +36,14 @@
     region : str
         Where this entry is.
     region_by_place : dict[str, str]
+    balanced_shares : callable or None
+        ``(service, slots_by_region) -> tuple[tuple[str, float], ...] or None``, the shares of this
+        region's objects by region in order; None for shares by slots.
     """
 
     region: str
     region_by_place: dict
+    balanced_shares: object = None
 
     def rank(self, service, key, usable, ready):
         """Return the candidate servers for an object, the preferred one first.
@@ -75,13 +82,14 @@
             Of all usable servers of the service, sorted.
         """
         return {
-            region: dict(_region_shares(region, self._regions(), slots_by_region)).get(
+            region: dict(shares_by_slots(region, self.regions(), slots_by_region)).get(
                 server_region, 0.0
             )
-            for region in self._regions()
+            for region in self.regions()
         }
 
-    def _regions(self):
+    def regions(self):
+        """Return all regions of the deployment, sorted."""
         return tuple(sorted(set(self.region_by_place.values())))
 
     def _slots_by_region(self, servers):
@@ -101,7 +109,11 @@
             Of the usable servers of the service, sorted.
         """
         position = hash_position(service, key)
-        shares = _region_shares(self.region, self._regions(), slots_by_region)
+        shares = None
+        if self.balanced_shares is not None:
+            shares = self.balanced_shares(service, slots_by_region)
+        if shares is None:
+            shares = shares_by_slots(self.region, self.regions(), slots_by_region)
         for region, share in shares:
             position -= share
             if position < 0.0:
@@ -117,7 +129,7 @@
 
 
 @lru_cache(maxsize=4096)
-def _region_shares(own_region, regions, slots_by_region):
+def shares_by_slots(own_region, regions, slots_by_region):
     """Return the share of a region's objects that each region serves, its own share first.
 
     The demand of all regions is assumed to be equal.
--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -11,7 +11,11 @@
 
 from attrs import Factory, define, frozen
 
-from figfold.core.traffic.placement import OVERFLOW_CANDIDATES, REGION_CANDIDATES
+from figfold.core.traffic.placement import (
+    LAST_RESORT_CANDIDATES,
+    OVERFLOW_CANDIDATES,
+    REGION_CANDIDATES,
+)
 from figfold.core.traffic.ranking import FleetRanking
 from figfold.core.traffic.server_limits import ServerLimits, part_of_limit
 from figfold.core.traffic.server_load import ServerLoad
@@ -42,6 +46,9 @@
         Whether to choose a server of another region, since those of the object's region are full.
     overflow_regions : frozenset[str]
         Regions with enough free slots to take overflow.
+    is_last_resort : bool
+        Whether overflow may also go to the own region, and to more servers of each one, because
+        the request would be refused otherwise.
     """
 
     service: str
@@ -50,6 +57,7 @@
     home_regions: frozenset = frozenset()
     is_overflow: bool = False
     overflow_regions: frozenset = frozenset()
+    is_last_resort: bool = False
 
 
 @frozen
@@ -206,15 +214,16 @@
     def _first_candidates(self, request, is_allowed):
         service, key, homes = request.service, request.key, request.home_regions
         if request.is_overflow:
-            regions = request.overflow_regions - {self.placement.region}
+            is_last = request.is_last_resort
+            regions = request.overflow_regions - (set() if is_last else {self.placement.region})
+            per_region = LAST_RESORT_CANDIDATES if is_last else OVERFLOW_CANDIDATES
             ranked = [
                 one
                 for region in (regions & homes if homes else regions)
-                for one in self.ranking.ranked(
-                    service, region, key, is_allowed, OVERFLOW_CANDIDATES
-                )
+                for one in self.ranking.ranked(service, region, key, is_allowed, per_region)
             ]
-            first = nlargest(OVERFLOW_CANDIDATES, ranked, key=lambda one: one[0])
+            count = len(ranked) if is_last else OVERFLOW_CANDIDATES
+            first = nlargest(count, ranked, key=lambda one: one[0])
         else:
             slots = self.ranking.roster(service).slots_by_region
             if homes:
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -37,6 +37,8 @@
         Sent at the next change; replaced by a new one each time.
     on_configuration : callable
         Called with each version that comes into force.
+    regions_with_room : callable or None
+        ``(service) -> set or None``, the regions with room as far as their demand is known.
     """
 
     name: str
@@ -46,6 +48,7 @@
     fleet: Fleet
     on_configuration: object
     membership: object = None
+    regions_with_room: object = None
     configuration: Configuration | None = None
     configuration_text: bytes = b""
     servers_read_s: float = -inf
@@ -182,6 +185,10 @@
 
     def regions_with_free_slots(self, service):
         """Return the regions of which all recent reports state enough free slots for overflow."""
+        if self.regions_with_room is not None:
+            known = self.regions_with_room(service)
+            if known is not None:
+                return known
         slots_by_region = dict(self.ranking.roster(service).slots_by_region)
         free_by_region = {}
         for place, load in self.membership.recent_loads(service, now_s()):
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -15,6 +15,7 @@
 from figfold.core.names import is_name
 from figfold.core.organisations.access import are_keys_confirmed
 from figfold.core.quarantine import Quarantine
+from figfold.core.regions.balancer import STEP_S
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector
@@ -39,6 +40,7 @@
 from figfold.gateway.listener import StoppableListener
 from figfold.gateway.loop_watch import LoopWatch, WaitingTime
 from figfold.gateway.protocol import make_gateway_protocol
+from figfold.gateway.region_shares import RegionShares
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
 from figfold.gateway.stopping import POLL_S, finish_requests
@@ -261,6 +263,9 @@
             log=self.log,
             settings=settings,
             on_suspected_crash=self.peers.announce_crash,
+            region_shares=RegionShares.from_config(
+                settings, self.cluster, selector.placement, self.log
+            ),
         )
         self.app = RequestApp(
             serve=self.request_runner.serve,
@@ -293,6 +298,7 @@
         eventlet.spawn_n(LoopWatch(self.metrics, self.log, WaitingTime()).run)
         eventlet.spawn_n(self._register)
         self._start_loop("peers", settings.peers.interval_s, self.prober.start_round)
+        self._start_loop("regions", STEP_S, self.request_runner.region_shares.update)
         self._start_loop(
             "idle", IDLE_SWEEP_INTERVAL_S, lambda: self.connections.close_idle(now_s())
         )
@@ -440,7 +446,7 @@
         }
 
     def _loads(self, now):
-        """Return the free slots of this region by service, for overflow from other regions."""
+        """Return the free slots of this region by service, and what is measured of its demand."""
         configuration = self.cluster.configuration
         if now - self._loads_at_s < LOADS_INTERVAL_S:
             return self._last_loads
@@ -449,7 +455,13 @@
         selector = self.request_runner.selector
         self._loads_at_s = now
         self._last_loads = tuple(
-            ServiceLoad(name, 0, 0, int(selector.free_slots(name, self.settings.region, now)))
+            ServiceLoad(
+                name,
+                0,
+                0,
+                int(selector.free_slots(name, self.settings.region, now)),
+                self.request_runner.region_shares.statement(name, now),
+            )
             for name in services
         )
         return self._last_loads
@@ -486,6 +498,7 @@
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
                 ("connections_opened", {}, self.connections.opened),
                 ("log_lines_dropped", {}, self.event_log.total_dropped),
+                *self.request_runner.region_shares.gauges(),
             )
         )
 
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -138,8 +138,7 @@
             return False
         choice = self._choose()
         now = now_s()
-        if choice is None or choice.expected_s > self.deadline_s - now:
-            choice = self._choose_overflow(now) or choice
+        choice = self._choose_elsewhere(choice, is_hedge, now) or choice
         if choice is None:
             self._explain_missing_choice(now)
             return False
@@ -214,13 +213,47 @@
         self._log("key-withdrawn", organisation=self.organisation.name, code=int(self.last_code))
         return False
 
-    def _choose_overflow(self, now):
-        """Return a choice in another region that meets the deadline, if the limiter allows one."""
+    def _choose_elsewhere(self, choice, is_hedge, now):
+        """Return a choice outside the object's region that is preferred to the one there, if any.
+
+        Parameters
+        ----------
+        choice : ServerChoice or None
+            The choice in the object's region.
+        """
+        left_s = self.deadline_s - now
+        is_late = choice is None or choice.expected_s > left_s
+        if is_hedge or not self.runner.settings.region_balancing:
+            return self._choose_overflow(now, left_s) if is_late else None
+        # A server that has rejected the request was full, and those beside it often are as well.
+        is_queued_again = bool(self.tried) and not is_late and choice.will_queue
+        if is_late or is_queued_again:
+            other = self._choose_overflow(now, left_s)
+            return other or self._choose_last_resort(now, left_s)
+        target_left_s = self.request.arrived_s + self.route.target_latency_s - now
+        if choice.will_queue and choice.expected_s > target_left_s:
+            return self._choose_overflow(now, target_left_s)
+        return None
+
+    def _choose_overflow(self, now, left_s):
+        """Return a choice in another region that is in time, if the limiter allows one."""
         choice = self._choose(is_overflow=True)
-        if choice is None or choice.expected_s > self.deadline_s - now:
+        if choice is None or choice.expected_s > left_s:
             return None
         return choice if self.runner.overflow_limiter.try_acquire(now) else None
 
+    def _choose_last_resort(self, now, left_s):
+        """Return a choice in any region for a request that would be refused otherwise."""
+        limiter = self.runner.overflow_limiter
+        if not limiter.has_room(now, is_last_resort=True):
+            return None
+        choice = self._choose(is_overflow=True, is_last_resort=True)
+        if choice is None or choice.expected_s > left_s:
+            return None
+        limiter.try_acquire(now, is_last_resort=True)
+        self.runner.metrics.count("last_resorts", service=self.service)
+        return choice
+
     def _explain_missing_choice(self, now):
         """Set what a refusal says if it is the servers' limits that leave no choice."""
         wait_s = self.runner.selector.limit_wait_s(self._selection_request(), now)
@@ -230,8 +263,12 @@
             if self.last_code is Code.OK:
                 self.last_code = Code.SERVERS_LIMITED
 
-    def _selection_request(self, is_overflow=False):
-        regions = self.runner.cluster.regions_with_free_slots(self.service) if is_overflow else ()
+    def _selection_request(self, is_overflow=False, is_last_resort=False):
+        regions = ()
+        if is_last_resort:
+            regions = self.runner.selector.placement.regions()
+        elif is_overflow:
+            regions = self.runner.cluster.regions_with_free_slots(self.service)
         return SelectionRequest(
             self.service,
             self.key,
@@ -239,14 +276,15 @@
             self.home_regions,
             is_overflow,
             frozenset(regions),
+            is_last_resort,
         )
 
-    def _choose(self, is_overflow=False):
+    def _choose(self, is_overflow=False, is_last_resort=False):
         runner = self.runner
         transfer_cost = runner.cluster.transfer_cost_s if self.route.is_bulk else None
         now = now_s()
         return runner.selector.choose(
-            self._selection_request(is_overflow),
+            self._selection_request(is_overflow, is_last_resort),
             runner.route_durations(self.route, self.service),
             now,
             lambda server: runner.cluster.may_use_cold_server(server, now),
@@ -351,6 +389,7 @@
         load.end(attempt_id)
         if result.load is not None:
             load.observe_report(result.load, now)
+            runner.region_shares.record_load(self.service, server_id, result.load, now)
         fingerprint = self.request.fingerprint
         if result.outcome is AttemptOutcome.ANSWERED:
             expected_s = max(0.001, attempt.choice.expected_s)
@@ -388,7 +427,9 @@
             return
         slowdown = result.load.slowdown if result.load is not None else 1.0
         round_trip_s = self.runner.cluster.server_round_trip_s(choice.server_id)
-        run_s = max(0.001, result.duration_s - round_trip_s) / max(0.1, slowdown)
+        slot_s = max(0.001, result.duration_s - round_trip_s)
+        self.runner.region_shares.record_run(self.service, slot_s)
+        run_s = slot_s / max(0.1, slowdown)
         self.runner.route_durations(self.route, self.service).add(run_s, choice.is_warm)
 
     # Final answers.
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -14,6 +14,7 @@
 from figfold.core.traffic.limiters import OverflowLimiter, RetryBudget
 from figfold.core.traffic.reset_watch import ResetWatch
 from figfold.entry.clock import now_s
+from figfold.gateway.region_shares import RegionShares
 from figfold.gateway.request_run import RETRY_AFTER_S, RequestRun
 from figfold.gateway.requests import CALLER_DISCONNECTED, DEADLINE_CHANGED, RequestFailure
 from figfold.platform.headers import with_organisation
@@ -54,6 +55,7 @@
     log: object
     settings: object
     on_suspected_crash: object
+    region_shares: RegionShares
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
     reset_watch: ResetWatch = Factory(ResetWatch)
     answers_until_s: float = inf
@@ -100,6 +102,7 @@
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
         self.retry_budget(service).count_request(now_s())
         self.overflow_limiter.count_request(now_s())
+        self.region_shares.record_request(service)
         run = RequestRun(
             self, request, route, service, configuration, organisation, home_regions=homes
         )
@@ -161,6 +164,7 @@
     def apply_settings(self, settings):
         """Put new settings in force; what has been spent of the budgets stays spent."""
         self.settings = settings
+        self.region_shares.apply_settings(settings)
         for budget in self._retry_budget_by_service.values():
             budget.window_s = settings.retry_window_s
             budget.ratio = settings.retry_ratio
--- a/figfold/wire/codec.py
+++ b/figfold/wire/codec.py
@@ -16,6 +16,7 @@
     MAX_QUARANTINED,
     MAX_STRIKES,
 )
+from figfold.core.regions.measurement import DemandStatement
 from figfold.wire.fields import (
     KEY_PATTERN,
     MAX_ERROR_CHARS,
@@ -29,6 +30,7 @@
     require_match,
     require_max_chars,
     require_name,
+    require_statement,
 )
 from figfold.wire.knowledge_codec import (
     read_knowledge_reply,
@@ -96,6 +98,11 @@
         item.inProgress = load.in_progress
         item.queued = load.queued
         item.room = load.room
+        demand = load.demand
+        item.requestsPerS = demand.requests_per_s
+        item.runS = demand.run_s
+        item.utilisation = demand.utilisation
+        item.localShare = demand.local_share
 
 
 def _write_quarantined(items, quarantined):
@@ -156,7 +163,16 @@
 
 def _read_load(item):
     return ServiceLoad(
-        require_name(item.service, "service"), item.inProgress, item.queued, item.room
+        require_name(item.service, "service"),
+        item.inProgress,
+        item.queued,
+        item.room,
+        DemandStatement(
+            require_statement(item.requestsPerS, "requestsPerS"),
+            require_statement(item.runS, "runS"),
+            require_statement(item.utilisation, "utilisation"),
+            require_statement(item.localShare, "localShare"),
+        ),
     )
 
 
--- a/figfold/wire/fields.py
+++ b/figfold/wire/fields.py
@@ -71,6 +71,13 @@
     return value
 
 
+def require_statement(value, name):
+    """Return a number that is not negative, or -1 for none, else raise `FieldError`."""
+    if value != -1 and not 0 <= value <= MAX_DURATION_S:
+        raise FieldError(f"{name} is out of range: {value!r}")
+    return value
+
+
 def require_at_most(value, limit, name):
     """Return an integer if it is not above the limit, else raise `FieldError`."""
     if value > limit:
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -8,6 +8,11 @@
   inProgress @1 :UInt32;
   queued @2 :UInt32;
   room @3 :UInt32;
+  # Negative numbers stand for what the sender does not state, as entries of earlier versions.
+  requestsPerS @4 :Float32 = -1;
+  runS @5 :Float32 = -1;
+  utilisation @6 :Float32 = -1;
+  localShare @7 :Float32 = -1;
 }
 
 # A request fingerprint that every entry quarantines until it expires.
--- a/test/test_gateway_run.py
+++ b/test/test_gateway_run.py
@@ -23,6 +23,7 @@
 
 def make_run(choice, timeout_s=TIMEOUT_S, caller_s=4.0, limit_wait_s=0.0):
     runner = Mock(answers_until_s=inf)
+    runner.settings.region_balancing = False
     runner.selector.choose.return_value = choice
     runner.selector.limit_wait_s.return_value = limit_wait_s
     runner.overflow_limiter.try_acquire.return_value = False
@@ -100,6 +101,7 @@
             log=Mock(),
             settings=None,
             on_suspected_crash=None,
+            region_shares=Mock(),
         )
         self.request = make_run(None).request
 
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -10,6 +10,7 @@
 from figfold.core.entries import KnownEntry
 from figfold.core.model import EntryReport, QuarantinedRequest, ReportedStrike, ServiceLoad
 from figfold.core.peer_reports import MAX_KNOWN_ENTRIES
+from figfold.core.regions.measurement import DemandStatement
 from figfold.wire.codec import MAX_MESSAGE_BYTES, decode, encode, try_encode
 from figfold.wire.encoder import MessageEncoder
 from figfold.wire.messages import (
@@ -82,7 +83,10 @@
     plan_version=7,
     plan_digest="0a" * 32,
     store_age_s=0.5,
-    loads=(ServiceLoad("stockview", 3, 1, 9), ServiceLoad("cutdesk", 2, 0, 4)),
+    loads=(
+        ServiceLoad("stockview", 3, 1, 9),
+        ServiceLoad("cutdesk", 2, 0, 4, DemandStatement(14.5, 0.25, 0.75, 0.5)),
+    ),
     quarantined=(QuarantinedRequest("GET:abc", 30.5),),
     leaving_servers=("stockview-3",),
 )
