--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -24,6 +24,8 @@
         Longest time for which a withdrawn API key may be accepted; 0 sets no bound.
     admission : bool
         Whether requests are held or refused while a service is short of room.
+    region_balancing : bool
+        Whether the shares of requests between regions follow demand and free capacity.
     """
 
     name: str
@@ -48,6 +50,7 @@
     peers: PeerSettings
     log: LogSettings
     admission: bool = False
+    region_balancing: bool = False
 
     @property
     def region(self):
@@ -80,6 +83,7 @@
             peers=peers,
             log=log,
             admission=section.choice("admission", ("on", "off")) == "on",
+            region_balancing=section.choice("region_balancing", ("on", "off")) == "on",
         )
 
 
