Read a status line in its exact form only

The HTTP library takes any number from 100 to 999 after any white space for a status (+200, 00200, 2_00, a status after two spaces), and all interim answers but 100 for final ones, so that callers got 101, 102, 199, 600 and 999 as answers.

parse_status_line reads the line for answers of backend servers, of the store, of probed servers and of entries asked by the command line. 100 and 102 to 199 are skipped within the limit of the head; any other line that is not a final status closes the connection, and the attempt has failed and may have run.

--- a/figfold/core/http_framing.py
+++ b/figfold/core/http_framing.py
@@ -6,17 +6,59 @@
 
 import re
 
+from attrs import frozen
+
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_IMPLEMENTED = 501
 CHUNKED = "chunked"
 # A name, a colon and a value without control characters other than tabs.
 FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n")
 LENGTH = re.compile("[0-9]+")
+# The space before an empty reason may be missing (RFC 9112, 4).
+STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([0-9]{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r?\n")
+# No request asks for another protocol, so that an answer that switches to one is a fault.
+HTTP_SWITCHING_PROTOCOLS = 101
+FIRST_STATUS = 100
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 WHITE_SPACE = " \t"
 # From this version on, a message may have a transfer coding.
 FIRST_VERSION_WITH_CODINGS = "HTTP/1.1"
 
 
+@frozen
+class StatusLine:
+    """Status line of an answer.
+
+    Attributes
+    ----------
+    version : str
+        Such as ``HTTP/1.1``.
+    status : int
+        From 100 to 599, but not 101.
+    """
+
+    version: str
+    status: int
+    reason: str
+
+    @property
+    def is_interim(self):
+        """Whether another answer to the same request follows this one."""
+        return self.status < FIRST_FINAL_STATUS
+
+
+def parse_status_line(line):
+    """Return the `StatusLine` in the bytes of a line with its end, or None if it is not valid."""
+    match = STATUS_LINE.fullmatch(line)
+    if match is None:
+        return None
+    status = int(match[2])
+    if not FIRST_STATUS <= status <= LAST_STATUS or status == HTTP_SWITCHING_PROTOCOLS:
+        return None
+    return StatusLine(match[1].decode("ascii"), status, (match[3] or b"").decode("latin-1"))
+
+
 def is_field_line(line):
     """Return whether the bytes are one line of a head that all recipients read alike.
 
--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -2,14 +2,26 @@
 
 import errno
 import socket
-from http.client import HTTPException, HTTPResponse
+from http.client import (
+    BadStatusLine,
+    HTTPException,
+    HTTPResponse,
+    LineTooLong,
+    RemoteDisconnected,
+)
 
 import eventlet
 from eventlet.greenio import GreenSocket
+from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
+from figfold.core.http_framing import parse_status_line
+
 # The most bytes that are read up to the end of an answer's head, with interim answers.
 HEAD_LIMIT_BYTES = 256 * 1024
+# The longest status line, and header line of an interim answer.
+LINE_LIMIT_BYTES = 64 * 1024
+EMPTY_LINES = (b"\r\n", b"\n")
 # Bytes read from one socket after which other green threads may run.
 YIELD_BYTES = 64 * 1024
 
@@ -101,7 +113,11 @@
 
 
 class _Response(HTTPResponse):
-    """Response whose head has to be complete."""
+    """Response whose head has to be complete, with a status line of the exact form.
+
+    The library takes any number from 100 to 999 after any white space for a status, and all interim
+    answers but 100 for final ones.
+    """
 
     def begin(self):
         file, self.fp = self.fp, _HeadLines(self.fp)
@@ -112,6 +128,20 @@
             if self.fp is not None:
                 self.fp = file
 
+    def _read_status(self):
+        while True:
+            line = self.fp.readline(LINE_LIMIT_BYTES)
+            if not line:
+                raise RemoteDisconnected("connection closed without an answer")
+            status_line = parse_status_line(line)
+            if status_line is None:
+                raise BadStatusLine(repr(line[:40]))
+            if not status_line.is_interim:
+                return status_line.version, status_line.status, status_line.reason
+            while (line := self.fp.readline(LINE_LIMIT_BYTES)) not in EMPTY_LINES:
+                if not line.endswith(b"\n"):
+                    raise LineTooLong("header line of an interim answer")
+
 
 class AnswerConnection(HTTPConnection):
     """Connection whose answers are limited in size.
@@ -146,3 +176,18 @@
     def _allow_answer(self):
         if isinstance(self.sock, AnswerSocket):
             self.sock.allowed_bytes = self.answer_limit_bytes
+
+
+def make_pool_manager(answer_limit_bytes, **options):
+    """Return pools of `AnswerConnection` by address, with options of urllib3's `PoolManager`."""
+    limit_bytes = answer_limit_bytes
+
+    class Connection(AnswerConnection):
+        answer_limit_bytes = limit_bytes
+
+    class ConnectionPool(HTTPConnectionPool):
+        ConnectionCls = Connection
+
+    manager = PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": ConnectionPool}
+    return manager
--- a/figfold/entry/probes.py
+++ b/figfold/entry/probes.py
@@ -3,25 +3,19 @@
 import json
 
 import eventlet
-from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.exceptions import HTTPError
 
 from figfold.core.model import State
-from figfold.entry.answer_connection import AnswerConnection
+from figfold.entry.answer_connection import HEAD_LIMIT_BYTES, make_pool_manager
 
 PROBE_TIMEOUT_S = 1.0
 HEALTH_LIMIT_BYTES = 4096
 CONNECTION_POOLS = 64
 
 
-class _ProbePool(HTTPConnectionPool):
-    ConnectionCls = AnswerConnection
-
-
 def make_probe():
     """Return a function from an address to the reported state, None if the probe fails."""
-    http = PoolManager(num_pools=CONNECTION_POOLS, maxsize=1, retries=False)
-    http.pool_classes_by_scheme = {"http": _ProbePool}
+    http = make_pool_manager(HEAD_LIMIT_BYTES, num_pools=CONNECTION_POOLS, maxsize=1, retries=False)
 
     def probe(address):
         try:
--- a/figfold/ui/admin_client.py
+++ b/figfold/ui/admin_client.py
@@ -11,6 +11,7 @@
 from figfold.core.codes import Code, Failure
 from figfold.core.model import Role
 from figfold.core.plan import encode_head
+from figfold.entry.answer_connection import HEAD_LIMIT_BYTES, make_pool_manager
 
 REQUEST_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.2
@@ -52,19 +53,20 @@
 
 
 def _exchange(address, method, path, body):
-    response = urllib3.request(
-        method,
-        f"http://{address}{path}",
-        body=body,
-        retries=False,
-        redirect=False,
-        preload_content=False,
-        timeout=REQUEST_TIMEOUT_S,
-    )
-    try:
-        data = response.read(ANSWER_LIMIT_BYTES + 1)
-    finally:
-        response.close()
+    with make_pool_manager(HEAD_LIMIT_BYTES + ANSWER_LIMIT_BYTES) as pools:
+        response = pools.request(
+            method,
+            f"http://{address}{path}",
+            body=body,
+            retries=False,
+            redirect=False,
+            preload_content=False,
+            timeout=REQUEST_TIMEOUT_S,
+        )
+        try:
+            data = response.read(ANSWER_LIMIT_BYTES + 1)
+        finally:
+            response.close()
     if response.status != HTTP_OK:
         return _unreachable(address, f"status {response.status}")
     value = json.loads(data) if data else {}
--- a/figfold/ui/platform_status.py
+++ b/figfold/ui/platform_status.py
@@ -9,6 +9,7 @@
 from figfold.config.gateway_settings import load_gateway_settings
 from figfold.core.codes import Code, Failure
 from figfold.core.traffic.configuration import Configuration
+from figfold.entry.answer_connection import make_pool_manager
 from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE, RowStore
 from figfold.platform.tables import read_entry_rows, read_operator_rows, read_server_rows
 from figfold.ui.output import Report, UserError, format_table, unwrap
@@ -16,6 +17,7 @@
 SERVER_COLUMNS = ("service", "place", "ready", "cold", "leaving", "evacuated")
 ENTRY_COLUMNS = ("entry", "place", "configuration", "servers age", "in progress")
 METRICS_TIMEOUT_S = 1.0
+METRICS_LIMIT_BYTES = 4 << 20
 METRIC_LINE = re.compile(r"^figfold_(\w+) (\S+)$", re.MULTILINE)
 UNKNOWN = "?"
 
@@ -135,9 +137,11 @@
     if not address:
         return {}
     try:
-        with urllib3.PoolManager(retries=False, timeout=METRICS_TIMEOUT_S) as pool:
-            answer = pool.request("GET", f"http://{address}/metrics")
-    except urllib3.exceptions.HTTPError:
+        with make_pool_manager(
+            METRICS_LIMIT_BYTES, retries=False, timeout=METRICS_TIMEOUT_S
+        ) as pools:
+            answer = pools.request("GET", f"http://{address}/metrics")
+    except (urllib3.exceptions.HTTPError, ValueError):
         # The report shows the entry with unknown values.
         return {}
     return dict(METRIC_LINE.findall(answer.data.decode("utf-8", "replace")))
