--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -245,6 +245,7 @@
         settings = SimpleNamespace(
             configuration_wait_s=1.0,
             revocation_bound_s=BOUND_S,
+            admission=False,
             retry_window_s=10.0,
             retry_ratio=0.2,
             retry_slack=10.0,
@@ -271,6 +272,7 @@
             log=logger,
             settings=settings,
             on_suspected_crash=None,
+            region_shares=Mock(),
         )
         self.runner.quarantine.is_quarantined.return_value = False
 
