Order what entries know by the era of the store and its versions

A store that is restored from an older copy takes versions back and assigns them again. Entries compared versions alone, so that rows of the copy passed for new ones, or new rows for old ones: a draining or removed server came back, an evacuation ended, a withdrawn key was confirmed by the copy, and servers that the copy lacked were dropped at once.

Versions now hold the era that Store-Era states in their upper bits, also between entries. Servers and evacuations that the copy lacks are held for 2.2 s, in which readings confirm no key; the entry's row is written again. Conditional writes with a version of another era are a conflict. Without the header nothing changes.

--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -107,6 +107,7 @@
     STORE_BAD_ANSWER = 605
     STORE_ERROR = 606
     STORE_HISTORY_LOST = 607
+    STORE_EARLIER_ERA = 608
 
     # Peers.
     PEER_MALFORMED = 701
--- a/figfold/core/traffic/fleet.py
+++ b/figfold/core/traffic/fleet.py
@@ -5,12 +5,10 @@
 
 from attrs import Factory, define, evolve, frozen
 
+from figfold.core.store_era import REREGISTRATION_GRACE_S, era_of, is_era_start
 from figfold.core.traffic.removals import MAX_REMEMBERED_REMOVALS, Removals
 from figfold.core.traffic.row_order import is_earlier_row
 
-# A row that is missing right after an outage of the store may only have expired during it. Live
-# servers register again within two seconds of the store's return.
-REREGISTRATION_GRACE_S = 2.2
 # Servers that are remembered as leaving by their own answers.
 MAX_REMEMBERED_LEAVINGS = 1000
 # The store drops the row of a server that has been silent for three heartbeats. A server whose row
@@ -133,7 +131,8 @@
     store_version : int
         Latest version of the store as of which all servers are known.
     evacuations_version : int
-        Latest version of the store as of which the evacuated places are known.
+        Latest version of the store as of which the evacuated places are known. The start of an era
+        if they were only added to since that era began.
     is_loaded : bool
         Whether a full snapshot of the servers has been applied.
     generation : int
@@ -153,6 +152,12 @@
     evacuations_version: int = 0
     additions: int = 0
     on_late_row: object = lambda _record, _known: None
+    # End of the time in which servers may be missing since the store was restored from a copy.
+    _restored_until_s: float = -inf
+    # Version of the store as of which the evacuated places were known as a whole.
+    _evacuations_base: int = 0
+    # Version as of which a place is no longer evacuated.
+    _restored_version_by_place: dict[str, int] = Factory(dict)
     # Number of servers that have announced their leaving in an answer.
     _announced_leavings: int = 0
     _removals: deque = Factory(lambda: deque(maxlen=MAX_REMEMBERED_REMOVALS))
@@ -231,7 +236,12 @@
         return self.apply_changes(records, absent_ids, now_s, after_outage, store_version, missing)
 
     def apply_changes(self, records, removed_ids, now_s, after_outage, store_version, missing=()):
-        """Apply the changes up to a version of the store; see `apply_snapshot`."""
+        """Apply the changes up to a version of the store; see `apply_snapshot`.
+
+        A restore of the store from a copy counts like an outage.
+        """
+        self._note_era(store_version, now_s)
+        after_outage = after_outage or now_s < self._restored_until_s
         if store_version < self.store_version:
             # All servers are known as of a later version. The others were removed before it.
             records = [one for one in records if one.id in self.server_by_id]
@@ -245,6 +255,11 @@
         self.store_version = max(self.store_version, store_version)
         return changed, removed
 
+    def _note_era(self, store_version, now_s):
+        """Begin to hold missing servers if a version is of a later era than the known ones."""
+        if self.store_version and era_of(store_version) > era_of(self.store_version):
+            self._restored_until_s = now_s + REREGISTRATION_GRACE_S
+
     def apply_removal(self, server_id, now_s, after_outage, store_version):
         """Handle a row that does not exist in a version; return whether the server was removed.
 
@@ -305,15 +320,24 @@
     def set_evacuated(self, places, now_s, store_version):
         """Set the data centres that get no requests as of a version; return whether they changed.
 
-        An earlier version than the known one changes nothing.
+        An earlier version than the known one changes nothing. The start of an era as the version
+        only adds places: rows of others may have been lost when the store was restored.
         """
-        if store_version < self.evacuations_version:
+        if store_version < self._evacuations_base:
             return False
-        self.evacuations_version = store_version
+        is_added = is_era_start(store_version) or store_version < self.evacuations_version
+        self.evacuations_version = max(self.evacuations_version, store_version)
         places = frozenset(places)
+        if is_added:
+            places |= self.evacuated_places
+        else:
+            self._evacuations_base = store_version
         if places == self.evacuated_places:
             return False
+        for place in places:
+            self._restored_version_by_place.pop(place, None)
         for place in self.evacuated_places - places:
+            self._remember_restored(place, store_version)
             for server in self.server_by_id.values():
                 if server.record.place == place:
                     # It may have become cold during the evacuation; the store shows that later.
@@ -322,6 +346,16 @@
         self.generation += 1
         return True
 
+    def is_restored_since(self, place, row_version):
+        """Return whether the evacuation that a row orders was ended later."""
+        return row_version <= self._restored_version_by_place.get(place, -1)
+
+    def _remember_restored(self, place, store_version):
+        self._restored_version_by_place[place] = store_version
+        if len(self._restored_version_by_place) > MAX_REMEMBERED_REMOVALS:
+            oldest = next(iter(self._restored_version_by_place))
+            del self._restored_version_by_place[oldest]
+
     @property
     def usable_version(self):
         """A value that changes whenever the result of `usable_servers` may change."""
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -126,6 +126,7 @@
     _loads_at_s: float = float("-inf")
     _last_loads: tuple = ()
     _logged_causes: set = field(factory=set)
+    _is_registering_again: bool = False
 
     @classmethod
     def from_config(cls, settings, log, event_log):
@@ -152,6 +153,8 @@
             self.log,
             on_confirmed=self.confirmation.record_store_read,
             on_server_removed=self._on_server_removed,
+            eras=store.eras,
+            on_new_era=lambda: eventlet.spawn_n(self._register_again),
         )
 
     def _make_peers(self):
@@ -388,10 +391,8 @@
 
     def _register(self):
         """Write this entry's row until the store has it, and add the other entries as peers."""
-        settings = self.settings
-        value = {name: getattr(settings, name) for name in REGISTERED_SETTINGS}
         while True:
-            rows = self.store_reader.register(self.settings.name, value)
+            rows = self.store_reader.register(self.settings.name, self._registration())
             if rows is not None:
                 break
             eventlet.sleep(REGISTER_RETRY_S)
@@ -407,6 +408,21 @@
         self.prober.announce(members.sample(registered, len(registered)))
         self.log.bind(entries=len(rows)).info("registered")
 
+    def _register_again(self):
+        """Write this entry's row again, since the store was restored from an older copy."""
+        if self._is_registering_again:
+            return
+        self._is_registering_again = True
+        try:
+            while not self.store_reader.is_registered():
+                if not self.store_reader.write_entry_row(self.settings.name, self._registration()):
+                    eventlet.sleep(REGISTER_RETRY_S)
+        finally:
+            self._is_registering_again = False
+
+    def _registration(self):
+        return {name: getattr(self.settings, name) for name in REGISTERED_SETTINGS}
+
     # Callbacks between the parts.
 
     def _on_configuration(self, version):
@@ -481,6 +497,7 @@
                     len(configuration.organisation_by_name) if configuration else 0,
                 ),
                 ("keys_confirmed", {}, int(self._serves_keys())),
+                ("store_era", {}, self.store_reader.eras.era),
                 ("live_entries", {}, len(self.cluster.live_entry_places())),
                 ("answer_bytes", {}, self.connections.memory.held_bytes),
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -9,6 +9,7 @@
 
 from figfold.core.codes import Code
 from figfold.core.confirmation import StoreHealth
+from figfold.core.store_era import EraTracker, era_of, era_start
 from figfold.core.traffic.fleet import FleetUpdate, MissingServer
 from figfold.core.traffic.outage import OutageTracker
 from figfold.entry.clock import now_s
@@ -22,6 +23,8 @@
 # Age of the operator's rows from which they are read without waiting for a change.
 UNCONFIRMED_S = 0.5
 MAX_REPORTED_FAILURES = 100  # Unreadable rows that are remembered as logged.
+# Failed reads of changes after which the whole table is read.
+WHOLE_READ_CODES = frozenset({Code.STORE_HISTORY_LOST, Code.STORE_EARLIER_ERA})
 
 
 @define(eq=False)
@@ -37,6 +40,11 @@
         Version of the operator's table as last read; None before the first read.
     late_rows : int
         Number of servers' rows that were not applied, since these were written before known ones.
+    eras : EraTracker
+        That of the store's client.
+    on_new_era : callable
+        Called when the store or a peer shows that the store was restored from an older copy, so
+        that this entry's row may be lost.
     """
 
     store: object
@@ -50,12 +58,21 @@
     operator_version: int | None = None
     late_rows: int = 0
     outage: OutageTracker = field(factory=OutageTracker)
+    eras: EraTracker = field(factory=EraTracker)
+    on_new_era: object = lambda: None
     _is_configuration_readable: bool = True
     _retry_pause_s: float = RETRY_PAUSE_S
     _reported_messages: set = field(factory=set)
+    _peer_era: int = 0
+    # Era in which this entry's row was last written.
+    _registered_era: int = -1
+    # Data centres that the store names as evacuated since it was restored, while others may be
+    # missing.
+    _evacuated_since_restore: frozenset = frozenset()
 
     def __attrs_post_init__(self):
         self.cluster.fleet.on_late_row = self._report_late_row
+        self.eras.on_new_era = self._report_new_era
 
     # Rows of the operator.
 
@@ -65,6 +82,9 @@
         # A long poll confirms the rows only when it ends, so old rows are read without waiting.
         is_confirmed = started - self.cluster.operator_read_s <= UNCONFIRMED_S
         wait_s = self.settings.configuration_wait_s if is_confirmed else 0.0
+        if self.eras.is_settling(started):
+            # No reading confirms the rows in this time.
+            wait_s = min(self.settings.configuration_wait_s, self.eras.settling_s(started))
         read, is_full = self._read_rows(OPERATOR_TABLE, self.operator_version, wait_s)
         if read.is_err():
             return self._record_failure(read.err(), started)
@@ -77,7 +97,7 @@
         # with a change may have been written at once.
         has_waited = not rows.rows and not is_full and now_s() - started >= wait_s
         self._confirm_operator_rows(started + wait_s if has_waited else started)
-        if self.cluster.configuration is not None:
+        if self.cluster.configuration is not None and not self.eras.is_settling(started):
             self.on_confirmed(self.cluster.configuration.version, started)
         return 0.0
 
@@ -96,8 +116,12 @@
         self._confirm_operator_rows(started)
 
     def _confirm_operator_rows(self, read_s):
-        """Record when the operator's rows were read, unless the configuration was unreadable."""
-        if self._is_configuration_readable:
+        """Record when the operator's rows were read, if they confirm the configuration.
+
+        They do not if it was unreadable, or an older one may have come back with a restore of the
+        store.
+        """
+        if self._is_configuration_readable and not self.eras.is_settling(read_s):
             self.cluster.operator_read_s = max(self.cluster.operator_read_s, read_s)
 
     def skip_operator_changes(self, store_version):
@@ -113,18 +137,40 @@
             self.cluster.apply_configuration(
                 changes.configuration, changes.configuration_text, "store"
             )
+        self._apply_evacuation_rows(changes, is_full, store_version)
+
+    def _apply_evacuation_rows(self, changes, is_full, store_version):
+        """Apply rows of evacuations; while rows may be missing after a restore, only add to them.
+
+        The version then is the start of the era, so that peers do the same.
+        """
+        fleet = self.cluster.fleet
         evacuated = {place for place, is_on in changes.evacuation_by_place.items() if is_on}
         restored = {place for place, is_on in changes.evacuation_by_place.items() if not is_on}
-        fleet = self.cluster.fleet
-        self.apply_evacuations(
-            evacuated if is_full else (fleet.evacuated_places - restored) | evacuated,
-            store_version,
-            "store",
-        )
+        start = era_start(store_version)
+        was_added_to = 0 < start == fleet.evacuations_version
+        known = self._evacuated_since_restore if was_added_to else fleet.evacuated_places
+        if not self.eras.is_settling(now_s()) or fleet.evacuations_version > start:
+            places = evacuated if is_full else (known - restored) | evacuated
+            self.apply_evacuations(places, store_version, "store")
+            return
+        evacuated -= {
+            place
+            for place in evacuated
+            if fleet.is_restored_since(place, changes.version_by_place[place])
+        }
+        places = evacuated if is_full else (known - restored) | evacuated
+        self._evacuated_since_restore = frozenset(places)
+        self.apply_evacuations(places | fleet.evacuated_places, start, "store")
 
     def apply_evacuations(self, places, store_version, source):
         """Set the data centres that are being evacuated as of a version of the store."""
         before = self.cluster.fleet.evacuated_places
+        start = era_start(store_version)
+        if start == self.cluster.fleet.evacuations_version > 0:
+            # This entry has read later changes than the peer, and knows that some may be missing.
+            is_behind = store_version < (self.operator_version or 0)
+            store_version = start if is_behind else store_version
         if self.cluster.fleet.set_evacuated(places, now_s(), store_version):
             self.log.bind(before=sorted(before), now=sorted(places), source=source).info(
                 "evacuations-changed"
@@ -147,7 +193,7 @@
         rows = read.ok()
         changes = read_server_rows(rows.rows)
         self._report_unreadable_rows(rows.failures + changes.failures)
-        after_outage = self.outage.has_just_ended(now_s())
+        after_outage = self.outage.has_just_ended(now_s()) or self.eras.is_settling(now_s())
         if rows.rows:
             self.log.bind(
                 rows=len(rows.rows),
@@ -250,12 +296,37 @@
 
     def register(self, name, value):
         """Write this entry's row and return the rows of all entries, or None if the store fails."""
-        written = self.store.write(ENTRY_TABLE, name, json.dumps(value).encode())
-        if written.is_err():
+        if not self.write_entry_row(name, value):
             return None
         read = self.store.read_table(ENTRY_TABLE)
         return None if read.is_err() else read_entry_rows(read.ok().rows)
 
+    def write_entry_row(self, name, value):
+        """Write this entry's row; return whether the store has it."""
+        written = self.store.write(ENTRY_TABLE, name, json.dumps(value).encode())
+        if written.is_ok():
+            self._registered_era = self.eras.era
+        return written.is_ok()
+
+    def is_registered(self):
+        """Return whether this entry's row was written since the store was last restored."""
+        return self._registered_era == self.eras.era
+
+    # Eras of the store.
+
+    def note_peer_version(self, store_version):
+        """Learn from a version that a peer states whether the store was restored."""
+        era = era_of(store_version)
+        # The versions of a store without eras can be as large.
+        if self.eras.has_eras and era > max(self.eras.era, self._peer_era):
+            self._peer_era = era
+            self._registered_era = -1
+            self.on_new_era()
+
+    def _report_new_era(self, era, before):
+        self.log.bind(era=era, before=before).info("store-era-changed")
+        self.on_new_era()
+
     def _read_rows(self, table, version, wait_s):
         """Read the changes of a table since a version, or all rows if the store has lost these.
 
@@ -266,7 +337,7 @@
         """
         if version is not None:
             read = self.store.read_changes(table, version, wait_s)
-            if read.is_ok() or read.err().code is not Code.STORE_HISTORY_LOST:
+            if read.is_ok() or read.err().code not in WHOLE_READ_CODES:
                 return read, False
             self.log.bind(reader=table).info("store-history-lost")
         return self.store.read_table(table), True
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -4,6 +4,7 @@
 from attrs import define, evolve, field
 from eventlet import Timeout
 
+from figfold.core.store_era import REREGISTRATION_GRACE_S, is_era_start
 from figfold.core.traffic.sync_source import MAX_SOURCE_AGE_S, SyncSourceSelector
 from figfold.entry.clock import now_s
 from figfold.platform.tables import decode_configuration_text
@@ -24,8 +25,8 @@
 # change by more than this.
 OPERATOR_SLACK_S = 1.5
 UNKNOWN_AGE_S = 1e6
-# How often an entry that reads the store asks a peer after its start or a late row. A peer that
-# reads the store itself may be one read behind.
+# How often an entry that reads the store asks a peer after its start, a late row or a restore of
+# the store. A peer that reads the store itself may be one read behind.
 ASKS_AFTER_LATE_ROW = 3
 
 
@@ -58,6 +59,7 @@
     _background_read: object = None
     _asks_left: int = ASKS_AFTER_LATE_ROW
     _late_rows: int = 0
+    _era: int = 0
 
     @classmethod
     def from_config(cls, settings, cluster, store_reader, client, metrics, log, incarnation):
@@ -204,10 +206,11 @@
         """Ask a peer for all servers, since it may have seen rows that are no longer in the store.
 
         A row that the store performs late replaces others, which an entry that has just started or
-        was cut off has never read.
+        was cut off has never read. So does a restore of the store from an older copy.
         """
-        if self.store_reader.late_rows != self._late_rows:
-            self._late_rows = self.store_reader.late_rows
+        late_rows, era = self.store_reader.late_rows, self.store_reader.eras.era
+        if (late_rows, era) != (self._late_rows, self._era):
+            self._late_rows, self._era = late_rows, era
             self._asks_left = ASKS_AFTER_LATE_ROW
         name = self.source_selector.fallback(self.cluster.place_by_live_entry(), now_s())
         if self._asks_left and name:
@@ -258,7 +261,9 @@
             # The peer has read nothing, or is of an earlier version, and its rows have no order.
             self._skip_source(name, "no-version")
             return False
-        is_fresh = self._is_fresh(servers_read_s, operator_read_s)
+        changes = reply.fleet_changes
+        is_restored = is_era_start(changes.evacuations_version)
+        is_fresh = self._is_fresh(servers_read_s, operator_read_s, is_restored)
         if not is_fresh and not self.cluster.fleet.is_loaded:
             # An entry that knows nothing must not begin with old rows.
             self._skip_stale_source(name, servers_read_s)
@@ -270,7 +275,7 @@
                 self.cluster.apply_configuration(read.ok(), reply.configuration, name)
             else:
                 self.metrics.count_code(read.err().code)
-        changes = reply.fleet_changes
+        self.store_reader.note_peer_version(changes.store_version)
         self.store_reader.apply_evacuations(
             changes.evacuated_places, changes.evacuations_version, name
         )
@@ -285,16 +290,28 @@
         elif reply.configuration_version == self._configuration_version():
             # A peer with an earlier configuration confirms nothing about the one in force.
             self.cluster.operator_read_s = max(self.cluster.operator_read_s, operator_read_s)
-            self.store_reader.skip_operator_changes(changes.evacuations_version)
+            if not is_restored:
+                self.store_reader.skip_operator_changes(changes.evacuations_version)
         if not is_fresh:
             # Its rows were applied all the same, since they can be newer than the known ones.
             self._skip_stale_source(name, servers_read_s)
         return is_fresh
 
-    def _is_fresh(self, servers_read_s, operator_read_s):
+    def _is_fresh(self, servers_read_s, operator_read_s, is_restored):
+        """Return whether the rows of a peer are fresh.
+
+        Parameters
+        ----------
+        servers_read_s, operator_read_s : float
+        is_restored : bool
+            Whether the peer waits for the operator's rows after a restore of the store. What it
+            reads meanwhile confirms nothing.
+        """
         now = now_s()
         # The operator's rows are confirmed only when the long poll for their next change ends.
         max_operator_age_s = self.settings.configuration_wait_s + OPERATOR_SLACK_S
+        if is_restored:
+            max_operator_age_s += REREGISTRATION_GRACE_S
         return (
             now - servers_read_s <= MAX_SOURCE_AGE_S and now - operator_read_s <= max_operator_age_s
         )
--- a/figfold/platform/answers.py
+++ b/figfold/platform/answers.py
@@ -1,11 +1,13 @@
 """Strict parsing of the store's HTTP answers; a malformed answer becomes an error value."""
 
 import json
+import re
 
 from attrs import frozen
 from result import Err, Ok
 
 from figfold.core.codes import Code, Failure
+from figfold.core.store_era import MAX_ERA
 
 HTTP_OK = frozenset({200, 201, 204})
 HTTP_NOT_FOUND = 404
@@ -13,6 +15,8 @@
 HTTP_CONFLICTS = frozenset({409, 412})
 HTTP_TOO_MANY = 429
 HTTP_SERVER_ERROR = 500
+ERA_HEADER = "store-era"
+ERA_PATTERN = re.compile("[0-9]{1,6}")
 
 
 @frozen
@@ -52,6 +56,14 @@
     return bad_answer("unexpected status", status)
 
 
+def read_era(answer):
+    """Return the era of the store that an answer states, or None if it states none."""
+    text = answer.header_by_name.get(ERA_HEADER, "").strip()
+    if not ERA_PATTERN.fullmatch(text):
+        return None
+    return int(text) if int(text) <= MAX_ERA else None
+
+
 def read_json(answer):
     """Return Ok(dict) with the JSON object in the body of a successful answer."""
     status = check_status(answer)
--- a/figfold/platform/client.py
+++ b/figfold/platform/client.py
@@ -4,6 +4,7 @@
 from result import Ok
 
 from figfold.core.codes import Code
+from figfold.core.store_era import EraTracker
 from figfold.entry.clock import now_s
 from figfold.platform.http import StoreHttp
 from figfold.platform.instances import INSTANCE_TABLE, Listing, listing_tag, read_instances
@@ -16,7 +17,9 @@
 # Connections that bulk requests may not use.
 RESERVED_CONNECTIONS = 3
 # The outcome of a write that failed with one of these is unknown until the row is read again.
-AMBIGUOUS_CODES = frozenset({Code.STORE_TIMEOUT, Code.STORE_ERROR, Code.STORE_BAD_ANSWER})
+AMBIGUOUS_CODES = frozenset(
+    {Code.STORE_TIMEOUT, Code.STORE_ERROR, Code.STORE_BAD_ANSWER, Code.STORE_EARLIER_ERA}
+)
 
 
 def may_have_taken_effect(failure):
@@ -65,6 +68,7 @@
         self._max_clock_offset_s = None
         # The store does not report when a row was written: ages count from the first read.
         self._row_states = RowStateCache()
+        self._eras = EraTracker()
 
     @classmethod
     def from_config(
@@ -136,8 +140,9 @@
     def put_row(self, table, row, value, if_match=None, if_absent=False):
         """Write a row under a condition and return Ok(etag).
 
-        Failures are STORE_CONFLICT when the condition does not hold, STORE_UNREACHABLE when
-        nothing was sent, and those of `may_have_taken_effect`.
+        Failures are STORE_CONFLICT when the condition does not hold or was read before the store
+        was restored from a copy, STORE_UNREACHABLE when nothing was sent, and those of
+        `may_have_taken_effect`.
         """
         expected_version = 0 if if_absent else _version_of(if_match)
         started_s = now_s()
@@ -198,7 +203,7 @@
         return self._bulk_http if name.startswith(self._bulk_prefixes) else self._main_http
 
     def _row_store(self, table):
-        return RowStore(self._http_for(table))
+        return RowStore(self._http_for(table), eras=self._eras, orders_copies=False)
 
     def _update_clock_offset(self, outcome, started_s):
         # The store read its clock after the call started, so this is an upper bound.
--- a/figfold/platform/tables.py
+++ b/figfold/platform/tables.py
@@ -2,7 +2,7 @@
 
 import json
 
-from attrs import frozen
+from attrs import Factory, frozen
 from result import Err
 
 from figfold.core.addresses import parse_address
@@ -32,6 +32,8 @@
         Whether the configuration's row was among them, valid or not.
     evacuation_by_place : dict[str, bool]
         Whether a data centre is being evacuated, for each one that has a row among them.
+    version_by_place : dict[str, int]
+        Versions of these rows.
     configuration_text : bytes
         The JSON text of the configuration, to be passed on to other entries; it holds digests in
         place of API keys.
@@ -44,6 +46,7 @@
     evacuation_by_place: dict
     failures: tuple = ()
     has_configuration: bool = False
+    version_by_place: dict = Factory(dict)
 
 
 @frozen
@@ -77,6 +80,7 @@
 def read_operator_rows(rows):
     """Return the `OperatorUpdate` for rows of the operator's table, in the store's order."""
     configuration, text, evacuation_by_place, failures = None, b"", {}, []
+    version_by_place = {}
     has_configuration = False
     for row in rows:
         if row.key == CONFIGURATION_KEY and not row.is_removed:
@@ -92,11 +96,17 @@
             place = row.key[len(EVACUATION_PREFIX) :]
             if is_name(place):
                 evacuation_by_place[place] = not row.is_removed
+                version_by_place[place] = row.version
             else:
                 message = f"evacuation of {place[:60]!r}, which is not a name"
                 failures.append(Failure(Code.STORE_BAD_ANSWER, message))
     return OperatorUpdate(
-        configuration, text, evacuation_by_place, tuple(failures), has_configuration
+        configuration,
+        text,
+        evacuation_by_place,
+        tuple(failures),
+        has_configuration,
+        version_by_place,
     )
 
 
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -21,12 +21,12 @@
 PROCESS_SOAK_SEED = 1
 
 
-def run_fleet(test, entries_per_place=2, servers_per_place=4):
+def run_fleet(test, entries_per_place=2, servers_per_place=4, store_era=None):
     """Run a test with a `VirtualFleet` in virtual time."""
 
     def run(hub):
         fleet = VirtualFleet.from_places(
-            hub, REGION_BY_PLACE, REGION_DELAY_S, entries_per_place, servers_per_place
+            hub, REGION_BY_PLACE, REGION_DELAY_S, entries_per_place, servers_per_place, store_era
         )
         test(fleet)
 
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -58,12 +58,10 @@
             return Err(Failure(Code.STORE_ERROR, "busy"))
         url = urlsplit(path)
         status, value = fleet.tables.answer(url.path, dict(parse_qsl(url.query)), body)
-        if status == 410:
-            return Err(Failure(Code.STORE_HISTORY_LOST, "gone"))
-        if status != 200:
-            return Err(Failure(Code.STORE_ERROR, f"status {status}"))
+        headers = {name.lower(): text for name, text in fleet.tables.header_by_name().items()}
+        answer = Answer(status, headers, json.dumps(value).encode())
         eventlet.sleep(fleet.store_delay_s(self.entry))
-        return Ok(Answer(status, {}, json.dumps(value).encode()))
+        return Ok(answer)
 
 
 @define
@@ -158,10 +156,17 @@
 
     @classmethod
     def from_places(
-        cls, hub, region_by_place, region_delay_s, entries_per_place, servers_per_place
+        cls,
+        hub,
+        region_by_place,
+        region_delay_s,
+        entries_per_place,
+        servers_per_place,
+        store_era=None,
     ):
         """Return a fleet whose entries have started and know all servers."""
         fleet = cls(hub, region_by_place, region_delay_s, next(iter(region_by_place.values())))
+        fleet.tables.era, fleet.tables.clock = store_era, lambda: hub.now
         fleet.put_configuration(1)
         for place in region_by_place:
             for number in range(servers_per_place):
@@ -189,7 +194,8 @@
     def _start(self, name, settings):
         gateway = GatewayProcess.from_config(settings, logger.bind(entry=name), None)
         http = FakeStoreHttp(self, name)
-        gateway.store_reader.store = RowStore(http, lambda code, operation: None)
+        eras = gateway.store_reader.eras
+        gateway.store_reader.store = RowStore(http, lambda code, operation: None, eras)
         gateway.peers.client = gateway.store_sync.client = FakePeerClient(self, name)
         self.gateway_by_entry[name] = gateway
         gateway.store_sync.start()
