--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -674,8 +674,9 @@
         settled.read()
         self.now_s += REREGISTRATION_GRACE_S - 0.1
         self.entry.read()
-        self.now_s += 0.1
+        self.now_s += 0.2
         settled.read()
+        self.assertFalse(is_era_start(settled.fleet.evacuations_version))
         self.put_server("s0", sequence=5)
         self.tables.put("op", "evacuate/a2", {})
         self.entry.read()
