Add the messages that move shares of limits between entries

Cause: the limits of an organisation hold over all entries together, which have to tell each other demand and shares. Change: QuotaRequest and QuotaReply, numbers 12 and 13 of the union. The request repeats the stamp of the last reply, so that a delayed one cannot delegate a share that its sender has taken back. Shares, rates and tokens are checked like the other fields. Tests: round trips, mutated bytes and fields out of range in test_wire.

--- a/figfold/wire/codec.py
+++ b/figfold/wire/codec.py
@@ -16,6 +16,7 @@
     MAX_QUARANTINED,
     MAX_STRIKES,
 )
+from figfold.core.quotas.messages import QuotaReply, QuotaRequest
 from figfold.wire.fields import (
     KEY_PATTERN,
     MAX_ERROR_CHARS,
@@ -49,6 +50,12 @@
     ProbeRequest,
     Report,
 )
+from figfold.wire.quota_codec import (
+    read_quota_reply,
+    read_quota_request,
+    write_quota_reply,
+    write_quota_request,
+)
 from figfold.wire.segment_table import WORD_BYTES, read_segment_table
 
 # Limit of a message, both packed as it is sent and unpacked.
@@ -281,6 +288,8 @@
     ProbeRequest: ("probeRequest", _write_probe_request),
     MembersRequest: ("membersRequest", _write_members_request),
     MembersReply: ("membersReply", _write_members_reply),
+    QuotaRequest: ("quotaRequest", write_quota_request),
+    QuotaReply: ("quotaReply", write_quota_reply),
 }
 _READER_BY_KIND = {
     "report": _read_report,
@@ -294,6 +303,8 @@
     "probeRequest": _read_probe_request,
     "membersRequest": _read_members_request,
     "membersReply": _read_members_reply,
+    "quotaRequest": read_quota_request,
+    "quotaReply": read_quota_reply,
 }
 
 
--- a/figfold/wire/messages.py
+++ b/figfold/wire/messages.py
@@ -5,6 +5,7 @@
 from figfold.core.codes import Code
 from figfold.core.entries import KnownEntry
 from figfold.core.model import EntryReport
+from figfold.core.quotas.messages import QuotaReply, QuotaRequest
 from figfold.core.traffic.fleet import FleetUpdate
 
 
@@ -126,3 +127,4 @@
 Message = Report | PlanRequest | PlanReply | KeyQuery | KeyReply | ErrorReply
 Message = Message | KnowledgeRequest | KnowledgeReply
 Message = Message | ProbeRequest | MembersRequest | MembersReply
+Message = Message | QuotaRequest | QuotaReply
--- a/figfold/wire/peer.capnp
+++ b/figfold/wire/peer.capnp
@@ -149,6 +149,46 @@
   serversAgeS @15 :Float64 = 1000000;  # Entries of earlier versions do not state it.
 }
 
+# Demand of an organisation at the sender.
+struct QuotaDemand {
+  organisation @0 :Text;
+  perS @1 :Float64;
+  share @2 :Float64;
+  tokens @3 :Float64;
+  waiting @4 :UInt16;
+}
+
+# Delegates the sender's base share of all limits, and states demand that has changed.
+struct QuotaRequest {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  region @2 :Bool;
+  whole @3 :Bool;
+  echoIncarnation @4 :UInt64;
+  echoStamp @5 :UInt64;
+  baseShare @6 :Float64;
+  demands @7 :List(QuotaDemand);
+  settled @8 :Bool;
+}
+
+# Share of an organisation's limit that the receiver may use.
+struct QuotaLease {
+  organisation @0 :Text;
+  share @1 :Float64;
+  tokens @2 :Float64;
+  permits @3 :UInt16;
+  scarce @4 :Bool;
+}
+
+# Renews all leases of the receiver, and states those that have changed.
+struct QuotaReply {
+  incarnation @0 :UInt64;
+  stamp @1 :UInt64;
+  durationMs @2 :UInt16;
+  whole @3 :Bool;
+  leases @4 :List(QuotaLease);
+}
+
 struct PeerMessage {
   union {
     unset @0 :Void;
@@ -163,5 +203,7 @@
     probeRequest @9 :ProbeRequest;
     membersRequest @10 :MembersRequest;
     membersReply @11 :MembersReply;
+    quotaRequest @12 :QuotaRequest;
+    quotaReply @13 :QuotaReply;
   }
 }
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -10,6 +10,7 @@
 from figfold.core.entries import KnownEntry
 from figfold.core.model import EntryReport, QuarantinedRequest, ReportedStrike, ServiceLoad
 from figfold.core.peer_reports import MAX_KNOWN_ENTRIES
+from figfold.core.quotas.messages import QuotaDemand, QuotaLease, QuotaReply, QuotaRequest
 from figfold.wire.codec import MAX_MESSAGE_BYTES, decode, encode, try_encode
 from figfold.wire.encoder import MessageEncoder
 from figfold.wire.messages import (
@@ -27,7 +28,10 @@
 addresses = st.sampled_from(["", "127.0.0.1:80", "10.1.2.3:65535", "[::1]:8080"])
 u32 = st.integers(0, 2**32 - 1)
 u64 = st.integers(0, 2**64 - 1)
+u16 = st.integers(0, 2**16 - 1)
 durations = st.floats(0, 1e9)
+shares = st.floats(0, 1)
+amounts = st.floats(0, 1e15)
 
 
 def tuples(strategy, size=5):
@@ -69,6 +73,26 @@
     st.builds(KeyQuery, names, keys, names),
     st.builds(KeyReply, st.text()),
     st.builds(ErrorReply, st.sampled_from(Code), st.text()),
+    st.builds(
+        QuotaRequest,
+        names,
+        u64,
+        st.booleans(),
+        st.booleans(),
+        st.booleans(),
+        u64,
+        u64,
+        shares,
+        tuples(st.builds(QuotaDemand, names, amounts, shares, amounts, u16)),
+    ),
+    st.builds(
+        QuotaReply,
+        u64,
+        u64,
+        st.integers(0, 2**16 - 1).map(lambda ms: ms / 1000),
+        st.booleans(),
+        tuples(st.builds(QuotaLease, names, shares, amounts, u16, st.booleans())),
+    ),
 )
 
 REPORT = EntryReport(
@@ -92,6 +116,8 @@
     PlanReply(True, b"7", b"row" * 100),
     KeyQuery("cutdesk", "key-1", "n-1"),
     ErrorReply(Code.PLAN_NONE, "no plan"),
+    QuotaRequest("bne-1", 7, echo_stamp=9, demands=(QuotaDemand("post", 3.5, 0.1, 2.0, 1),)),
+    QuotaReply(7, 10, 0.9, False, (QuotaLease("post", 0.25, 1.5, 1, True),)),
 )
 
 
@@ -221,6 +247,26 @@
         result = decode(encode(Report(REPORT, KNOWN * (MAX_KNOWN_ENTRIES + 1))))
         self.assertIs(Code.PEER_MALFORMED, result.err().code)
 
+    def test_shares_out_of_range_are_refused(self):
+        demand, lease = QuotaDemand("post", 1.0), QuotaLease("post", 0.5)
+        request, reply = QuotaRequest("bne-1", 7), QuotaReply(7, 9, 0.9, False)
+        for number in (-0.1, float("nan"), float("inf")):
+            for part in ("per_s", "share", "tokens"):
+                bad = evolve(request, demands=(evolve(demand, **{part: number}),))
+                self.assertIs(Code.PEER_MALFORMED, decode(encode(bad)).err().code)
+            for part in ("share", "tokens"):
+                bad = evolve(reply, leases=(evolve(lease, **{part: number}),))
+                self.assertIs(Code.PEER_MALFORMED, decode(encode(bad)).err().code)
+        for bad in (
+            evolve(request, base_share=1.1),
+            evolve(request, name=""),
+            evolve(request, demands=(evolve(demand, organisation="a b"),)),
+            evolve(request, demands=(demand,) * 2001),
+            evolve(reply, leases=(evolve(lease, share=1.1),)),
+            evolve(reply, leases=(lease,) * 2001),
+        ):
+            self.assertIs(Code.PEER_MALFORMED, decode(encode(bad)).err().code)
+
     def test_addresses_and_digests_out_of_range_are_refused_by_the_receiver(self):
         # The names are shortened so that no text has the length of an address.
         report, known = evolve(REPORT, name="bne"), evolve(KNOWN[0], name="tsv")
