Refuse requests beyond an organisation's limit with 429

Cause: the limits of organisations were read and not applied. Change: after the key is checked and before a service is chosen, a request of an organisation with a limit takes a token, or is refused as not run with Retry-After (code 332). The settings of the virtual entries lacked revocation_bound_s, so that tests with them could not start.

--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -80,6 +80,7 @@
     UNKNOWN_API_KEY = 329
     KEYS_UNCONFIRMED = 330
     HOMES_EXCLUDE = 331
+    OVER_LIMIT = 332
 
     # Requests attempted at a backend server.
     CONNECT_FAILED = 401
--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -32,6 +32,7 @@
     Code.BAD_REQUEST: "400 Bad Request",
     Code.BODY_TOO_LARGE: "413 Content Too Large",
     Code.UNKNOWN_API_KEY: "401 Unauthorized",
+    Code.OVER_LIMIT: "429 Too Many Requests",
 }
 NOT_RUN_STATUS = "503 Service Unavailable"
 TIMEOUT_STATUS = "504 Gateway Timeout"
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -39,6 +39,7 @@
 from figfold.gateway.listener import StoppableListener
 from figfold.gateway.loop_watch import LoopWatch, WaitingTime
 from figfold.gateway.protocol import make_gateway_protocol
+from figfold.gateway.quota_exchange import QuotaExchange
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
 from figfold.gateway.stopping import POLL_S, finish_requests
@@ -47,7 +48,7 @@
 from figfold.platform.headers import names_its_request, server_headers
 from figfold.platform.rows import RowStore
 from figfold.wire.client import PeerClient
-from figfold.wire.messages import KnowledgeRequest, MembersRequest, ProbeRequest
+from figfold.wire.messages import KnowledgeRequest, MembersRequest, ProbeRequest, QuotaRequest
 from figfold.wire.server import PeerServer, PeerServerSettings
 
 BACKLOG = 1024
@@ -118,6 +119,7 @@
     peer_server: PeerServer = None
     connections: Connections = None
     store_sync: StoreSync = None
+    quota_exchange: QuotaExchange = None
     confirmation: ConfirmationTracker = None
     quarantine: Quarantine = None
     stage: str = "serving"
@@ -220,10 +222,19 @@
             self.log,
             own_report.incarnation,
         )
+        self.quota_exchange = QuotaExchange.from_config(
+            settings,
+            self.cluster,
+            self.peers.client,
+            self.metrics,
+            self.log,
+            own_report.incarnation,
+        )
         self.peers.handler_by_type = {
             KnowledgeRequest: self.store_sync.handle_request,
             ProbeRequest: self.prober.handle_probe,
             MembersRequest: self.prober.handle_members_request,
+            QuotaRequest: self.quota_exchange.handle_request,
         }
 
     def _make_request_runner(self):
@@ -261,6 +272,7 @@
             log=self.log,
             settings=settings,
             on_suspected_crash=self.peers.announce_crash,
+            acquire_quota=self.quota_exchange.acquire,
         )
         self.app = RequestApp(
             serve=self.request_runner.serve,
@@ -412,6 +424,7 @@
     def _on_configuration(self, version):
         self.confirmation.set_version_in_force(version)
         self.request_runner.retain_routes(self.cluster.configuration.route_by_name)
+        self.quota_exchange.apply_configuration(self.cluster.configuration)
         membership = self.cluster.membership
         membership.own = evolve(membership.own, plan_version=version)
 
@@ -481,6 +494,7 @@
                     len(configuration.organisation_by_name) if configuration else 0,
                 ),
                 ("keys_confirmed", {}, int(self._serves_keys())),
+                ("quota_borrowers", {}, self.quota_exchange.ledger.borrower_count),
                 ("live_entries", {}, len(self.cluster.live_entry_places())),
                 ("answer_bytes", {}, self.connections.memory.held_bytes),
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -10,6 +10,8 @@
 from figfold.core.codes import Code
 from figfold.core.organisations.access import Access, are_keys_confirmed, decide_access
 from figfold.core.organisations.organisation import common_homes
+from figfold.core.quotas.limiter import ADMITTED
+from figfold.core.quotas.limits import is_limited
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.limiters import OverflowLimiter, RetryBudget
 from figfold.core.traffic.reset_watch import ResetWatch
@@ -41,6 +43,8 @@
         Configuration, fleet and membership.
     on_suspected_crash : callable
         Called when a request may have crashed its server.
+    acquire_quota : callable
+        Returns the `Admission` of a request of an organisation with a limit.
     answers_until_s : float
         When all requests have their final answer, because the entry is about to end.
     """
@@ -55,6 +59,7 @@
     settings: object
     on_suspected_crash: object
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
+    acquire_quota: object = lambda _organisation: ADMITTED
     reset_watch: ResetWatch = Factory(ResetWatch)
     answers_until_s: float = inf
     _runs: set = Factory(set)
@@ -97,6 +102,12 @@
         if not route.is_repeatable and request.deadline_s(route) > self.answers_until_s:
             # It might still run when the entry ends, and its caller could not send it again.
             return Err(RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0))
+        if is_limited(organisation):
+            admission = self.acquire_quota(organisation)
+            if not admission.is_admitted:
+                return Err(
+                    RequestFailure(Code.OVER_LIMIT, True, "over-limit", admission.retry_after_s)
+                )
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
         self.retry_budget(service).count_request(now_s())
         self.overflow_limiter.count_request(now_s())
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -191,6 +191,7 @@
         http = FakeStoreHttp(self, name)
         gateway.store_reader.store = RowStore(http, lambda code, operation: None)
         gateway.peers.client = gateway.store_sync.client = FakePeerClient(self, name)
+        gateway.quota_exchange.client = gateway.peers.client
         self.gateway_by_entry[name] = gateway
         gateway.store_sync.start()
         eventlet.spawn_n(gateway._register)
@@ -242,8 +243,14 @@
 
     # Rows of the operator and of the backend servers.
 
-    def put_configuration(self, version, route_count=1):
-        """Write a configuration with that many routes, whose names are drawn."""
+    def put_configuration(self, version, route_count=1, organisations=None):
+        """Write a configuration with that many routes, whose names are drawn.
+
+        Parameters
+        ----------
+        organisations : dict or None
+            Organisations by name, as the operator writes them.
+        """
         names = Random(version)
         routes = {
             f"r-{number}": {
@@ -257,6 +264,8 @@
             for number in range(route_count)
         }
         configuration = {"version": f"r{version}", "routes": routes, "services": {SERVICE: {}}}
+        if organisations is not None:
+            configuration["tenants"] = organisations
         self.tables.put("op", "config", configuration)
 
     def put_server(self, server_id, place, state="ready"):
@@ -310,6 +319,7 @@
         retry_ratio=0.2,
         retry_window_s=10.0,
         retry_slack=60.0,
+        revocation_bound_s=0.0,
         region_by_place=region_by_place,
         peers=PeerSettings(1.0, 3, 3.0, 1.0, ("127.0.0.0/8",)),
         log=None,
