--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -81,6 +81,7 @@
     KEYS_UNCONFIRMED = 330
     HOMES_EXCLUDE = 331
     SERVICE_SHORT = 333
+    OVER_LIMIT = 332
 
     # Requests attempted at a backend server.
     CONNECT_FAILED = 401
