Limit extra attempts by a ratio, and send them after a quantile

Slow requests that may be repeated got an extra attempt after 2.5 times the expected duration, limited by the budget of retries alone, also to a server with a queue and while the service was short of capacity.

With hedge_ratio in [gateway], an entry sends extra attempts for at most that part of a service's requests of any 30 s, after a quantile of the route's durations relative to the expected ones, to a free server, and not while servers reject requests or few slots are free. Answers that arrive together with the final one are closed at once. Without the setting, hedges are as before.

No deployment was measured.

The virtual gateway of the tests lacked the setting revocation_bound_s, by which tests of test_entry_prober and test_gateway_leaving failed.

--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -22,6 +22,9 @@
         The region of each data centre.
     revocation_bound_s : float
         Longest time for which a withdrawn API key may be accepted; 0 sets no bound.
+    hedge_ratio : float
+        Extra attempts per request of a service, over all entries; 0 leaves them to the budget of
+        retries alone.
     """
 
     name: str
@@ -42,6 +45,7 @@
     retry_window_s: float
     retry_slack: float
     revocation_bound_s: float
+    hedge_ratio: float
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
@@ -73,6 +77,7 @@
             retry_window_s=section.seconds("retry_window_s"),
             retry_slack=section.number("retry_slack"),
             revocation_bound_s=section.number("revocation_bound_s"),
+            hedge_ratio=section.number("hedge_ratio", 0.0, 1.0),
             region_by_place=region_by_place,
             peers=peers,
             log=log,
--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -22,6 +22,8 @@
 FAILED_ATTEMPT_COST_S = 0.5
 # Requests that a server queues beyond its slots before it rejects more.
 SERVER_QUEUE_LIMIT = 8
+# Age up to which a server's report counts for the room that a service has.
+ROOM_REPORT_AGE_S = 1.0
 # An attempt is overdue after this multiple of its expected duration.
 OVERDUE_FACTOR = 2.0
 
@@ -42,6 +44,9 @@
         Whether to choose a server of another region, since those of the object's region are full.
     overflow_regions : frozenset[str]
         Regions with enough free slots to take overflow.
+    needs_free_slot : bool
+        Whether to choose only a server that is expected to start the request at once and is not
+        within its cold start.
     """
 
     service: str
@@ -50,6 +55,15 @@
     home_regions: frozenset = frozenset()
     is_overflow: bool = False
     overflow_regions: frozenset = frozenset()
+    needs_free_slot: bool = False
+
+
+@frozen
+class SlotRoom:
+    """Free slots, and all slots, of the servers that have reported their load recently."""
+
+    free: float
+    slots: int
 
 
 @frozen
@@ -126,6 +140,18 @@
             for server in servers.values()
         )
 
+    def known_room(self, request, now_s):
+        """Return the `SlotRoom` of the servers that a request may use."""
+        free, slots = 0.0, 0
+        for server in self.ranking.roster(request.service).servers:
+            load = self.load_by_server.get(server.record.id)
+            if load is None or now_s - load.reported_s > ROOM_REPORT_AGE_S:
+                continue
+            if self._is_in_home_region(server, request):
+                slots += load.slots
+                free += max(0.0, load.slots - len(load.in_flight) - load.other_requests)
+        return SlotRoom(free, slots)
+
     def remove_server(self, server_id):
         """Drop the load of a server that was removed from the fleet."""
         self.load_by_server.pop(server_id, None)
@@ -175,12 +201,15 @@
         """
         best, best_cost = None, inf
         for rank, server in enumerate(self._candidates(request, now_s, may_use_cold_server)):
-            is_preferred = rank == 0 and not request.is_overflow
+            # For a wish for a free slot, servers that were tried may rank above the first one here.
+            is_preferred = rank == 0 and not (request.is_overflow or request.needs_free_slot)
             choice, cost = self._estimate_cost(server, is_preferred, request.key, durations, now_s)
             if choice.will_queue and (rank > 0 or request.is_overflow) and request.key:
                 # A cold run displaces warm objects, which is worth it only at a free slot.
                 # Otherwise a burst spreads every object over all servers, and none stays warm.
                 continue
+            if request.needs_free_slot and (choice.will_queue or choice.is_cold_server):
+                continue
             if transfer_cost_s is not None:
                 cost += transfer_cost_s(server.record.place)
             if cost < best_cost:
@@ -200,6 +229,8 @@
             )
 
         first = self._first_candidates(request, is_allowed)
+        if request.needs_free_slot:
+            first += self._warm_candidates(request, is_allowed, first)
         # Only if none of these is allowed do all servers have to be looked at.
         return first or self._all_candidates(request, now_s, may_use_cold_server)
 
@@ -223,6 +254,19 @@
             first = self.ranking.ranked(service, region, key, is_allowed, REGION_CANDIDATES)
         return [server for _, server in first]
 
+    def _warm_candidates(self, request, is_allowed, without):
+        """Return the further servers that are assumed to hold the object warm."""
+        known = {one.record.id for one in without}
+        return [
+            one
+            for one in self.ranking.roster(request.service).servers
+            if one.record.id in self.load_by_server
+            and one.record.id not in known
+            and self.load_by_server[one.record.id].is_warm(request.key)
+            and self._is_in_home_region(one, request)
+            and is_allowed(one)
+        ]
+
     def _all_candidates(self, request, now_s, may_use_cold_server):
         usable = [
             one
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from figfold.core.codes import Code
+from figfold.core.hedging.policy import MIN_DELAY_S, HedgeRefusal
 from figfold.core.organisations.access import Access
 from figfold.core.traffic.retry_decision import (
     AttemptOutcome,
@@ -24,7 +25,8 @@
 )
 from figfold.gateway.sender import AttemptResult
 
-# A hedge is sent after this multiple of the expected duration, but no earlier than the minimum.
+# Without a hedge ratio in the settings, a hedge is sent after this multiple of the expected
+# duration, but no earlier than the minimum.
 HEDGE_FACTOR = 2.5
 MIN_HEDGE_DELAY_S = 0.3
 # Shortest time after which a caller should retry a refused request.
@@ -61,6 +63,8 @@
         Error answer of a server, which is returned if no attempt succeeds.
     hedge_decided : bool
         Whether a hedge was sent or ruled out.
+    hedge_not_before_s : float
+        Earliest time of a hedge after a refusal that may pass.
     organisation : Organisation or None
         Whose API key the request carries; None for an anonymous caller.
     home_regions : frozenset[str]
@@ -82,6 +86,7 @@
     last_code: Code = Code.OK
     error_answer: object = None
     hedge_decided: bool = False
+    hedge_not_before_s: float = 0.0
     retry_after_s: float = RETRY_AFTER_S
 
     @property
@@ -129,14 +134,24 @@
         for attempt_id, attempt in list(self.attempt_by_id.items()):
             attempt.thread.kill()
             self._load_of(attempt).end(attempt_id)
+            self._observe_duration(attempt, now_s() - attempt.started_s, is_answered=False)
         self.attempt_by_id.clear()
+        self._close_unused_answers()
+
+    def _close_unused_answers(self):
+        """Close the answers that came after the final one, whose rest is still to be read."""
+        while not self.events.empty():
+            event = self.events.get_nowait()
+            answer = event.result.answer if isinstance(event, AttemptEnded) else None
+            if answer is not None and answer.rest is not None:
+                answer.rest.close()
 
     # Attempts.
 
-    def _start_attempt(self, is_hedge):
+    def _start_attempt(self, is_hedge, choice=None):
         if not self._has_access():
             return False
-        choice = self._choose()
+        choice = choice or self._choose()
         now = now_s()
         if choice is None or choice.expected_s > self.deadline_s - now:
             choice = self._choose_overflow(now) or choice
@@ -151,6 +166,7 @@
                 left_ms=round((self.deadline_s - now) * 1000),
             )
             self.last_code = Code.DEADLINE_TOO_SHORT
+            self.runner.hedging.record_rejection(self.service, now)
             # By then the queue has shrunk by that time, and a retry has the route's whole time.
             self.retry_after_s = max(RETRY_AFTER_S, choice.expected_s - (self.deadline_s - now))
             return False
@@ -230,7 +246,7 @@
             if self.last_code is Code.OK:
                 self.last_code = Code.SERVERS_LIMITED
 
-    def _selection_request(self, is_overflow=False):
+    def _selection_request(self, is_overflow=False, needs_free_slot=False):
         regions = self.runner.cluster.regions_with_free_slots(self.service) if is_overflow else ()
         return SelectionRequest(
             self.service,
@@ -239,14 +255,15 @@
             self.home_regions,
             is_overflow,
             frozenset(regions),
+            needs_free_slot,
         )
 
-    def _choose(self, is_overflow=False):
+    def _choose(self, is_overflow=False, needs_free_slot=False):
         runner = self.runner
         transfer_cost = runner.cluster.transfer_cost_s if self.route.is_bulk else None
         now = now_s()
         return runner.selector.choose(
-            self._selection_request(is_overflow),
+            self._selection_request(is_overflow, needs_free_slot),
             runner.route_durations(self.route, self.service),
             now,
             lambda server: runner.cluster.may_use_cold_server(server, now),
@@ -263,6 +280,9 @@
             or self.progress.started_attempts >= self.route.max_attempts
         ):
             return
+        if self.runner.settings.hedge_ratio > 0.0:
+            self._try_limited_hedge()
+            return
         entries = self.runner.cluster.entry_count()
         choice = self._choose()
         if choice is None or choice.expected_s > self.deadline_s - now_s():
@@ -273,12 +293,64 @@
             self.runner.metrics.count("retries", reason="hedge")
             self._start_attempt(is_hedge=True)
 
+    def _try_limited_hedge(self):
+        """Send an extra attempt if the policy, the servers and both budgets allow one."""
+        runner, now = self.runner, now_s()
+        room = runner.selector.known_room(self._selection_request(), now)
+        refusal = runner.hedging.find_refusal(self.service, runner.settings.hedge_ratio, room, now)
+        choice = None
+        if refusal is None:
+            choice = self._choose(needs_free_slot=True)
+            refusal = self._find_hedge_refusal(choice, now)
+        if refusal is not None:
+            runner.metrics.count("refused_hedges", reason=refusal.value)
+            self.hedge_decided = refusal.is_final
+            started_s = next(iter(self.attempt_by_id.values())).started_s
+            self.hedge_not_before_s = now + max(MIN_DELAY_S, now - started_s)
+            return
+        runner.hedging.record_hedge(self.service, now)
+        runner.metrics.count("retries", reason="hedge")
+        runner.metrics.count("hedges", result="sent")
+        self._start_attempt(is_hedge=True, choice=choice)
+
+    def _find_hedge_refusal(self, choice, now):
+        """Return why an extra attempt must not be sent to the chosen server, or None."""
+        if choice is None:
+            return HedgeRefusal.NO_SERVER
+        if choice.expected_s > self.deadline_s - now:
+            return HedgeRefusal.TIME
+        runner = self.runner
+        if runner.quarantine.is_suspect_or_quarantined(self.request.fingerprint, now):
+            return HedgeRefusal.SUSPECT
+        if not self._has_access():
+            return HedgeRefusal.KEY
+        if not runner.retry_budget(self.service).try_acquire(runner.cluster.entry_count(), now):
+            return HedgeRefusal.RETRY_BUDGET
+        return None
+
+    def _hedge_delay_s(self, expected_s):
+        hedge_ratio = self.runner.settings.hedge_ratio
+        if hedge_ratio > 0.0:
+            return self.runner.hedging.delay_s(
+                self.route.name, self.service, expected_s, hedge_ratio, now_s()
+            )
+        return max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * expected_s)
+
+    def _observe_duration(self, attempt, duration_s, is_answered):
+        """Add the duration of an attempt to those that the delay of hedges goes by."""
+        if self.runner.settings.hedge_ratio > 0.0 and self.route.is_repeatable:
+            hedging = self.runner.hedging
+            observe = hedging.observe_answer if is_answered else hedging.observe_unfinished
+            expected_s = attempt.choice.expected_s
+            observe(self.route.name, self.service, duration_s, expected_s, now_s())
+
     def _next_timer_s(self):
         if self.hedge_decided or len(self.attempt_by_id) != 1 or not self.route.is_repeatable:
             return self.deadline_s
         attempt = next(iter(self.attempt_by_id.values()))
-        wait_s = max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * attempt.choice.expected_s)
-        return min(self.deadline_s, attempt.started_s + wait_s)
+        wait_s = self._hedge_delay_s(attempt.choice.expected_s)
+        hedge_s = max(attempt.started_s + wait_s, self.hedge_not_before_s)
+        return min(self.deadline_s, hedge_s)
 
     # Handling of ended attempts.
 
@@ -320,6 +392,8 @@
             **_stated(result.head),
         )
         if step is NextStep.GIVE_ANSWER and result.outcome is AttemptOutcome.ANSWERED:
+            if attempt.is_hedge and self.runner.settings.hedge_ratio > 0.0:
+                self.runner.metrics.count("hedges", result="won")
             return Ok(result.answer)
         if self.attempt_by_id:
             return None  # Another attempt is in progress and may still answer.
@@ -356,9 +430,11 @@
             expected_s = max(0.001, attempt.choice.expected_s)
             load.observe_success(result.duration_s, expected_s, now)
             self._add_run_time(attempt.choice, result)
+            self._observe_duration(attempt, result.duration_s, is_answered=True)
             runner.quarantine.record_success(fingerprint, now, server_id)
         elif result.code is Code.SERVER_SHED:
             load.observe_shed(now)
+            runner.hedging.record_rejection(self.service, now)
         elif result.code is Code.CONNECT_FAILED:
             load.observe_failure(now, is_unreachable=True)
             runner.quarantine.record_connect_refused(server_id, now)
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from figfold.core.codes import Code
+from figfold.core.hedging.policy import HedgePolicy
 from figfold.core.organisations.access import Access, are_keys_confirmed, decide_access
 from figfold.core.organisations.organisation import common_homes
 from figfold.core.traffic.durations import RouteDurations
@@ -56,6 +57,7 @@
     on_suspected_crash: object
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
     reset_watch: ResetWatch = Factory(ResetWatch)
+    hedging: HedgePolicy = Factory(HedgePolicy)
     answers_until_s: float = inf
     _runs: set = Factory(set)
     _durations_by_route: dict = Factory(dict)
@@ -99,6 +101,8 @@
             return Err(RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0))
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
         self.retry_budget(service).count_request(now_s())
+        if self.settings.hedge_ratio > 0.0:
+            self.hedging.count_request(service, now_s())
         self.overflow_limiter.count_request(now_s())
         run = RequestRun(
             self, request, route, service, configuration, organisation, home_regions=homes
@@ -145,6 +149,7 @@
     def retain_routes(self, route_by_name):
         """Drop the state of routes that no longer exist."""
         self.splitter.retain_routes(route_by_name)
+        self.hedging.retain_routes(route_by_name)
         for name, service in list(self._durations_by_route):
             if name not in route_by_name:
                 del self._durations_by_route[name, service]
--- a/test/test_gateway.py
+++ b/test/test_gateway.py
@@ -526,6 +526,27 @@
         self.assertEqual(json.loads(body)["ttlS"], 0.7)
         self.assertEqual(entry.request("h1")[0], 200)
 
+    # A slow run kept its slot after the extra attempt had answered.
+    def test_extra_attempt_answers_for_a_slow_server_and_ends_the_run_there(self):
+        self.deployment.rows.put("op", "config", configuration(2, timeout_s=4.0))
+        entry = self.deployment.start_entry(
+            "entry-1", "bne-north", hedge_ratio="1.0", retry_ratio="1.0"
+        )
+        home = entry.request("h0", deadline_ms=4000)[2].split()[0].decode()
+        endpoint = self.deployment.endpoint_by_id[home]
+        endpoint.cold_s = endpoint.warm_s = 2.0
+        started = time.monotonic()
+        status, headers, body = entry.request("h1", deadline_ms=4000)
+        duration_s = time.monotonic() - started
+        self.assertEqual((status, headers["Attempt-Id"]), (200, "h1"))
+        self.assertNotEqual(body.split()[0].decode(), home)
+        self.assertLess(duration_s, 2.0)
+        eventlet.sleep(2.2 - duration_s)
+        self.assertEqual(endpoint.cancelled, 1)
+        metrics = entry.get("metrics", "/metrics")[2].decode()
+        self.assertIn('figfold_hedges_total{result="sent"} 1', metrics)
+        self.assertIn('figfold_hedges_total{result="won"} 1', metrics)
+
     def test_settings_that_cannot_be_used_end_with_a_numbered_error(self):
         path = Path(self.deployment.folder.name) / "bad.ini"
         path.write_text("[gateway]\nname = x\n", encoding="utf-8")
--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -310,6 +310,8 @@
         retry_ratio=0.2,
         retry_window_s=10.0,
         retry_slack=60.0,
+        revocation_bound_s=0.0,
+        hedge_ratio=0.0,
         region_by_place=region_by_place,
         peers=PeerSettings(1.0, 3, 3.0, 1.0, ("127.0.0.0/8",)),
         log=None,
