--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -26,6 +26,9 @@
         Whether requests are held or refused while a service is short of room.
     region_balancing : bool
         Whether the shares of requests between regions follow demand and free capacity.
+    hedge_ratio : float
+        Extra attempts per request of a service, over all entries; 0 leaves them to the budget of
+        retries alone.
     """
 
     name: str
@@ -46,6 +49,7 @@
     retry_window_s: float
     retry_slack: float
     revocation_bound_s: float
+    hedge_ratio: float
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
@@ -79,6 +83,7 @@
             retry_window_s=section.seconds("retry_window_s"),
             retry_slack=section.number("retry_slack"),
             revocation_bound_s=section.number("revocation_bound_s"),
+            hedge_ratio=section.number("hedge_ratio", 0.0, 1.0),
             region_by_place=region_by_place,
             peers=peers,
             log=log,
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from figfold.core.codes import Code
+from figfold.core.hedging.policy import HedgePolicy
 from figfold.core.organisations.access import Access, are_keys_confirmed, decide_access
 from figfold.core.organisations.organisation import common_homes
 from figfold.core.quotas.limiter import ADMITTED
@@ -67,6 +68,7 @@
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
     acquire_quota: object = lambda _organisation: ADMITTED
     reset_watch: ResetWatch = Factory(ResetWatch)
+    hedging: HedgePolicy = Factory(HedgePolicy)
     answers_until_s: float = inf
     _runs: set = Factory(set)
     _durations_by_route: dict = Factory(dict)
@@ -90,32 +92,22 @@
         if route is None:
             return Err(RequestFailure(Code.NO_ROUTE, True, "no-route"))
         decision = self.decide_access(configuration, route, request.key_digest)
-        if decision.access in FAILURE_BY_ACCESS:
-            return Err(FAILURE_BY_ACCESS[decision.access])
         organisation = decision.organisation
         homes = common_homes(
             route.home_regions, organisation.home_regions if organisation else frozenset()
         )
-        if homes is None:
-            return Err(RequestFailure(Code.HOMES_EXCLUDE, True, "homes-exclude"))
+        refusal = FAILURE_BY_ACCESS.get(decision.access) or self._find_refusal(
+            request, route, organisation, homes
+        )
+        if refusal is not None:
+            return Err(refusal)
         if configuration.has_organisations:
             name = organisation.name if organisation else None
             request = evolve(request, headers=with_organisation(request.headers, name))
-        if self.quarantine.is_quarantined(request.fingerprint, now_s()):
-            return Err(
-                RequestFailure(Code.QUARANTINED, True, "quarantined", QUARANTINE_RETRY_AFTER_S)
-            )
-        if not route.is_repeatable and request.deadline_s(route) > self.answers_until_s:
-            # It might still run when the entry ends, and its caller could not send it again.
-            return Err(RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0))
-        if is_limited(organisation):
-            admission = self.acquire_quota(organisation)
-            if not admission.is_admitted:
-                return Err(
-                    RequestFailure(Code.OVER_LIMIT, True, "over-limit", admission.retry_after_s)
-                )
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
         self.retry_budget(service).count_request(now_s())
+        if self.settings.hedge_ratio > 0.0:
+            self.hedging.count_request(service, now_s())
         self.overflow_limiter.count_request(now_s())
         self.region_shares.record_request(service)
         run = RequestRun(
@@ -134,6 +126,22 @@
             if run.admission is not None:
                 run.admission.end()
 
+    def _find_refusal(self, request, route, organisation, homes):
+        """Return why a request with access is not run, as a RequestFailure, or None."""
+        if homes is None:
+            return RequestFailure(Code.HOMES_EXCLUDE, True, "homes-exclude")
+        if self.quarantine.is_quarantined(request.fingerprint, now_s()):
+            return RequestFailure(Code.QUARANTINED, True, "quarantined", QUARANTINE_RETRY_AFTER_S)
+        if not route.is_repeatable and request.deadline_s(route) > self.answers_until_s:
+            # It might still run when the entry ends, and its caller could not send it again.
+            return RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0)
+        if not is_limited(organisation):
+            return None
+        admission = self.acquire_quota(organisation)
+        if admission.is_admitted:
+            return None
+        return RequestFailure(Code.OVER_LIMIT, True, "over-limit", admission.retry_after_s)
+
     def decide_access(self, configuration, route, digest):
         """Return the `AccessDecision` for a request now; see `decide_access` of the core."""
         is_confirmed = are_keys_confirmed(
@@ -167,6 +175,7 @@
     def retain_routes(self, route_by_name):
         """Drop the state of routes that no longer exist."""
         self.splitter.retain_routes(route_by_name)
+        self.hedging.retain_routes(route_by_name)
         for name, service in list(self._durations_by_route):
             if name not in route_by_name:
                 del self._durations_by_route[name, service]
