--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -368,7 +368,11 @@
         self.metrics = Metrics()
         self.duration_by_server = {"s1": self.SLOW_S, "s2": 0.01}
         self.settings = SimpleNamespace(
-            hedge_ratio=1.0, retry_window_s=10.0, retry_ratio=1.0, retry_slack=0.0
+            hedge_ratio=1.0,
+            retry_window_s=10.0,
+            retry_ratio=1.0,
+            retry_slack=0.0,
+            region_balancing=False,
         )
         self.cluster = Mock(**{"entry_count.return_value": 1})
         self.cluster.regions_with_free_slots.return_value = ()
@@ -387,6 +391,7 @@
             log=Mock(),
             settings=self.settings,
             on_suspected_crash=Mock(),
+            region_shares=Mock(),
         )
         self.runner.hedging.count_request("stock", now_s())
         self.runner.retry_budget("stock").count_request(now_s())
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -246,6 +246,7 @@
             configuration_wait_s=1.0,
             revocation_bound_s=BOUND_S,
             admission=False,
+            hedge_ratio=0.0,
             retry_window_s=10.0,
             retry_ratio=0.2,
             retry_slack=10.0,
--- a/test/test_quota_exchange.py
+++ b/test/test_quota_exchange.py
@@ -164,6 +164,7 @@
             log=Mock(),
             settings=SimpleNamespace(revocation_bound_s=0.0),
             on_suspected_crash=None,
+            region_shares=Mock(),
             acquire_quota=self.acquire,
         )
         request = evolve(make_run(None).request, key_digest=key_digest("key"))
