--- a/figfold/gateway/quota_exchange.py
+++ b/figfold/gateway/quota_exchange.py
@@ -92,8 +92,10 @@
         admission = self.limiter.try_acquire(organisation, now)
         if not admission.is_admitted and self.limiter.should_ask(organisation, now):
             self.limiter.begin_wait(organisation)
-            self._ask_and_wait()
-            admission = self.limiter.end_wait(organisation, now_s())
+            try:
+                self._ask_and_wait()
+            finally:
+                admission = self.limiter.end_wait(organisation, now_s())
         if not admission.is_admitted:
             self.metrics.count("over_limit", organisation=organisation.name)
         return admission
@@ -111,12 +113,11 @@
     def _ask_soon(self, asked):
         """Ask once for all callers that have begun to wait by then."""
         try:
-            if self._exchange_ended is not None:
-                self._exchange_ended.wait()
             eventlet.sleep(max(0.0, self._asked_s + ASK_SPACING_S - now_s()))
-            if self._exchange_ended is None:
-                self._asked = None
-                self._exchange(True)
+            while self._exchange_ended is not None:
+                self._exchange_ended.wait()
+            self._asked = None
+            self._exchange(True)
         finally:
             if self._asked is asked:
                 self._asked = None
@@ -144,8 +145,7 @@
         for region in self.holders.regions():
             if region != self.region and region not in self._regions_asked:
                 self._ask_region(region, now)
-        if self._exchange_ended is None:
-            eventlet.spawn_n(self._exchange)
+        eventlet.spawn_n(self._exchange)
 
     def _choose_holder(self):
         """Return the name of the quota holder of the own region, empty without one."""
@@ -166,6 +166,8 @@
 
     def _exchange(self, is_urgent=False):
         """Send the request that is due to the quota holder and apply its reply."""
+        if self._exchange_ended is not None:
+            return
         holder = self._choose_holder()
         now = now_s()
         request = self.limiter.next_request(holder, now, is_urgent) if holder else None
