Spare bursts of small organisations and uneven servers from admission control

With randomly chosen servers, full ones beside free ones counted as a shortage, and a limit left a third of the capacity unused at a load of 0.9.

Organisations may now be four requests ahead of their share, and attempts at servers with free slots count against pressed ones. A request waits for no longer than what the target latency leaves after 1.25 times the usual time to an answer. Requests that are refused while they wait earn no retries.

--- a/figfold/core/admission/fair_queue.py
+++ b/figfold/core/admission/fair_queue.py
@@ -2,6 +2,9 @@
 
 from attrs import Factory, define
 
+# Requests that an organisation may be ahead of its share after it was idle. An entry gets less than
+# one request a second of most organisations, and two that come together are no overload.
+ORGANISATION_CREDIT = 4.0
 # Tags beyond this number are checked for those that no longer matter.
 MAX_TAGS = 1000
 
@@ -12,35 +15,44 @@
 
     Attributes
     ----------
+    weight : callable
+        ``(flow) -> float``, its share of what is served.
+    credit : float
+        Requests that a flow may send ahead of the others after it was idle.
     virtual_time : float
-        Start tag of the request that was served last.
+        Highest start tag of a request that was served.
     """
 
+    weight: object
+    credit: float = 0.0
     virtual_time: float = 0.0
     _finish_by_flow: dict = Factory(dict)
 
     def next_flow(self, flows):
         """Return the backlogged flow whose first request has the least start tag."""
-        return min(flows, key=self._start_tag)
+        return min(flows, key=self.start_tag)
 
-    def serve(self, flow, weight):
+    def serve(self, flow):
         """Record that a request of a flow is served."""
-        self.virtual_time = self._start_tag(flow)
-        self._finish_by_flow[flow] = self.virtual_time + 1.0 / weight
+        start = self.start_tag(flow)
+        self.virtual_time = max(self.virtual_time, start)
+        self._finish_by_flow[flow] = start + 1.0 / self.weight(flow)
         if len(self._finish_by_flow) > MAX_TAGS:
             self._finish_by_flow = {
                 one: tag for one, tag in self._finish_by_flow.items() if tag > self.virtual_time
             }
 
-    def _start_tag(self, flow):
-        return max(self.virtual_time, self._finish_by_flow.get(flow, 0.0))
+    def start_tag(self, flow):
+        """Return the start tag of a flow's next request."""
+        earliest = self.virtual_time - self.credit / self.weight(flow)
+        return max(earliest, self._finish_by_flow.get(flow, earliest))
 
 
 @define
 class _PriorityQueue:
     """Waiting requests of one priority by organisation, in the order of their arrival."""
 
-    order: FairOrder = Factory(FairOrder)
+    order: FairOrder
     first_attempts: dict = Factory(dict)
     repeats: dict = Factory(dict)
     count: int = 0
@@ -61,7 +73,7 @@
 
     priority_weight: object
     organisation_weight: object
-    _order: FairOrder = Factory(FairOrder)
+    _order: FairOrder = Factory(lambda self: FairOrder(self.priority_weight), takes_self=True)
     _queue_by_priority: dict = Factory(dict)
     _count: int = 0
 
@@ -79,7 +91,10 @@
 
     def add(self, request):
         """Add a request, behind those of its organisation and, as a repeat, all first attempts."""
-        queue = self._queue_by_priority.setdefault(request.priority, _PriorityQueue())
+        queue = self._queue_by_priority.get(request.priority)
+        if queue is None:
+            order = FairOrder(self.organisation_weight, ORGANISATION_CREDIT)
+            queue = self._queue_by_priority[request.priority] = _PriorityQueue(order)
         waiting = queue.lane(request.is_repeat).setdefault(request.organisation, {})
         waiting[id(request)] = request
         queue.count += 1
@@ -101,11 +116,11 @@
     def pop(self):
         """Remove and return the request that is next."""
         priority = self._order.next_flow(self.priorities())
-        self._order.serve(priority, self.priority_weight(priority))
+        self._order.serve(priority)
         queue = self._queue_by_priority[priority]
         lane = queue.first_attempts or queue.repeats
         organisation = queue.order.next_flow(lane)
-        queue.order.serve(organisation, self.organisation_weight(organisation))
+        queue.order.serve(organisation)
         request = next(iter(lane[organisation].values()))
         self.remove(request)
         return request
@@ -117,12 +132,12 @@
             return 0.0
         if request.is_repeat:
             return float(queue.count)
-        lane = queue.first_attempts
-        own = len(lane.get(request.organisation, ()))
-        rounds = (own + 1) / self.organisation_weight(request.organisation)
+        lane, order, organisation = queue.first_attempts, queue.order, request.organisation
+        own = len(lane.get(organisation, ()))
+        tag = order.start_tag(organisation) + own / order.weight(organisation)
         others = sum(
-            min(len(waiting), rounds * self.organisation_weight(name))
+            min(len(waiting), 1.0 + (tag - order.start_tag(name)) * order.weight(name))
             for name, waiting in lane.items()
-            if name != request.organisation
+            if name != organisation and order.start_tag(name) <= tag
         )
         return own + others
--- a/figfold/core/admission/service_admission.py
+++ b/figfold/core/admission/service_admission.py
@@ -27,6 +27,8 @@
 # go ahead, and would else refuse urgent requests in favour of others.
 MIN_WAIT_FRACTION = 0.2
 MAX_WAIT_FRACTION = 0.5
+# Most answers come within this multiple of the mean time.
+DURATION_MARGIN = 1.25
 MAX_QUEUED_PER_PRIORITY = 128
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 3.0
@@ -186,15 +188,16 @@
 
     # Attempts.
 
-    def observe_attempt(self, is_pressed, now_s):
+    def observe_attempt(self, is_pressed, has_free_slot, now_s):
         """Count an attempt; see `ShortageDetector`."""
         self._now_s = now_s
-        self.shortage.observe(is_pressed, now_s)
+        self.shortage.observe(is_pressed, has_free_slot, now_s)
         self._update(now_s)
 
     def observe_rejection(self, now_s):
         """Lower the limit after a server has rejected a request as full."""
-        self.limit.decrease_by_rejection(now_s)
+        if self.shortage.pressed_share(now_s) > 0.0:
+            self.limit.decrease_by_rejection(now_s)
 
     def observe_answer(self, run_s, duration_s, is_crowded, has_free_slot, now_s):
         """Adapt the limit to an answer.
@@ -211,7 +214,8 @@
         if not self.shortage.is_short:
             return
         if is_crowded:
-            self.limit.decrease_by_crowding(now_s)
+            if self.shortage.pressed_share(now_s) > 0.0:
+                self.limit.decrease_by_crowding(now_s)
             return
         self.limit.increase(self.in_progress, has_free_slot)
         self._update(now_s)
@@ -245,7 +249,7 @@
             for one in range(request.priority + 1, len(PRIORITY_WEIGHTS))
         )
         fraction = MIN_WAIT_FRACTION + less_urgent * (MAX_WAIT_FRACTION - MIN_WAIT_FRACTION)
-        wait_s = max(fraction * target_s, target_s - self.limit.mean_duration_s)
+        wait_s = max(fraction * target_s, target_s - DURATION_MARGIN * self.limit.mean_duration_s)
         left_s = request.deadline_s - now_s - request.expected_run_s
         return min(MAX_WAIT_FRACTION * target_s, wait_s, left_s)
 
--- a/figfold/core/admission/shortage.py
+++ b/figfold/core/admission/shortage.py
@@ -11,6 +11,10 @@
 # Share of pressed attempts above which a service is short, and below which it no longer is.
 ENTER_SHARE = 0.3
 LEAVE_SHARE = 0.1
+# Attempts at servers with free slots count this many times against pressed ones. If some servers
+# are full beside others that are not, the choice of servers is uneven. A limit would leave free
+# slots unused then: with randomly chosen servers, a third of the capacity at a load of 0.9.
+FREE_SLOT_WEIGHT = 2.0
 # Least weight of recent attempts that shows a shortage. An entry may send a small service only two
 # or three requests a second.
 MIN_ATTEMPTS = 1.5
@@ -42,17 +46,26 @@
     backlogged_s: float = -inf
     _attempts: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
     _pressed: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
+    _free: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
 
-    def observe(self, is_pressed, now_s):
-        """Count an attempt."""
+    def observe(self, is_pressed, has_free_slot, now_s):
+        """Count an attempt, with whether its server reported a free slot."""
         self._attempts.add(1.0, now_s)
         if is_pressed:
             self._pressed.add(1.0, now_s)
+        elif has_free_slot:
+            self._free.add(1.0, now_s)
 
     def pressed_share(self, now_s):
-        """Return the share of pressed attempts; 0 if there are too few attempts to tell."""
+        """Return by how much pressed attempts exceed those at servers with free slots.
+
+        The result is a share of all attempts, and 0 if there are too few to tell.
+        """
         attempts = self._attempts.value(now_s)
-        return self._pressed.value(now_s) / attempts if attempts >= MIN_ATTEMPTS else 0.0
+        if attempts < MIN_ATTEMPTS:
+            return 0.0
+        excess = self._pressed.value(now_s) - FREE_SLOT_WEIGHT * self._free.value(now_s)
+        return max(0.0, excess) / attempts
 
     def update(self, is_backlogged, now_s):
         """Update ``is_short``; return whether it changed.
@@ -77,6 +90,11 @@
         return True
 
 
+def has_free_slot(report):
+    """Return whether a server reports a slot that no request waits for."""
+    return report.waiting == 0 and report.running < report.slots
+
+
 def is_crowded(report, run_s, target_latency_s):
     """Return whether the wait at a server takes up too much of what the target latency leaves.
 
--- a/figfold/gateway/admission.py
+++ b/figfold/gateway/admission.py
@@ -4,7 +4,7 @@
 from eventlet.queue import Empty
 
 from figfold.core.admission.service_admission import AdmissionRequest, ServiceAdmission, State
-from figfold.core.admission.shortage import is_crowded
+from figfold.core.admission.shortage import has_free_slot, is_crowded
 from figfold.core.codes import Code
 from figfold.core.traffic.retry_decision import AttemptOutcome
 from figfold.entry.clock import now_s
@@ -73,7 +73,7 @@
     def observe_start(self, choice, route, now):
         """Record the expectation of an attempt that starts, or that would end too late to start."""
         if choice.will_queue and choice.expected_s > route.target_latency_s:
-            self.service.observe_attempt(True, now)
+            self.service.observe_attempt(True, False, now)
 
     def observe_end(self, choice, route, warm_s, result, now):
         """Record the end of an attempt.
@@ -90,8 +90,9 @@
             return
         report = result.load
         crowded = report is not None and is_crowded(report, warm_s, route.target_latency_s)
+        is_free = report is not None and has_free_slot(report)
         if not was_expected_late:
-            self.service.observe_attempt(is_rejected or crowded, now)
+            self.service.observe_attempt(is_rejected or crowded, is_free, now)
         if is_rejected:
             self.service.observe_rejection(now)
             return
@@ -99,7 +100,7 @@
             choice.run_s,
             result.duration_s,
             crowded,
-            report is not None and report.waiting == 0 and report.running < report.slots,
+            is_free,
             now,
         )
 
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -110,6 +110,8 @@
         failure = self.admission.wait(self) if self.admission is not None else None
         if failure is not None:
             return Err(failure)
+        # Requests that are refused while they wait for admission earn no retries.
+        self.runner.retry_budget(self.service).count_request(now_s())
         if not self._start_attempt(is_hedge=False):
             return self._refuse_not_sent()
         while True:
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -102,7 +102,6 @@
             # It might still run when the entry ends, and its caller could not send it again.
             return Err(RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0))
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
-        self.retry_budget(service).count_request(now_s())
         self.overflow_limiter.count_request(now_s())
         run = RequestRun(
             self, request, route, service, configuration, organisation, home_regions=homes
