Let entries with few requests see a shortage

Of a service with 60 slots, 72 entries send less than two requests a second each.

The detector now goes by the last second or the last four attempts. Server stand-ins report waiting requests and can refuse beyond a number of them; a test runs an entry process against them.

--- a/figfold/core/admission/fair_queue.py
+++ b/figfold/core/admission/fair_queue.py
@@ -27,16 +27,26 @@
     credit: float = 0.0
     virtual_time: float = 0.0
     _finish_by_flow: dict = Factory(dict)
+    _start_by_flow: dict = Factory(dict)
+
+    def join(self, flow):
+        """Add a flow that has become backlogged."""
+        self._start_by_flow.setdefault(flow, self.start_tag(flow))
+
+    def leave(self, flow):
+        """Remove a flow that is no longer backlogged."""
+        self._start_by_flow.pop(flow, None)
 
     def next_flow(self, flows):
         """Return the backlogged flow whose first request has the least start tag."""
-        return min(flows, key=self.start_tag)
+        return min(flows, key=self._start_by_flow.__getitem__)
 
     def serve(self, flow):
-        """Record that a request of a flow is served."""
-        start = self.start_tag(flow)
+        """Record that a request of a backlogged flow is served."""
+        start = self._start_by_flow[flow]
         self.virtual_time = max(self.virtual_time, start)
-        self._finish_by_flow[flow] = start + 1.0 / self.weight(flow)
+        finish = start + 1.0 / self.weight(flow)
+        self._finish_by_flow[flow] = self._start_by_flow[flow] = finish
         if len(self._finish_by_flow) > MAX_TAGS:
             self._finish_by_flow = {
                 one: tag for one, tag in self._finish_by_flow.items() if tag > self.virtual_time
@@ -44,6 +54,8 @@
 
     def start_tag(self, flow):
         """Return the start tag of a flow's next request."""
+        if flow in self._start_by_flow:
+            return self._start_by_flow[flow]
         earliest = self.virtual_time - self.credit / self.weight(flow)
         return max(earliest, self._finish_by_flow.get(flow, earliest))
 
@@ -97,6 +109,8 @@
             queue = self._queue_by_priority[request.priority] = _PriorityQueue(order)
         waiting = queue.lane(request.is_repeat).setdefault(request.organisation, {})
         waiting[id(request)] = request
+        self._order.join(request.priority)
+        queue.order.join(request.organisation)
         queue.count += 1
         self._count += 1
 
@@ -107,9 +121,14 @@
         waiting = lane.get(request.organisation, {})
         if waiting.pop(id(request), None) is None:
             return False
+        organisation = request.organisation
         if not waiting:
-            del lane[request.organisation]
+            del lane[organisation]
+        if organisation not in queue.first_attempts and organisation not in queue.repeats:
+            queue.order.leave(organisation)
         queue.count -= 1
+        if not queue.count:
+            self._order.leave(request.priority)
         self._count -= 1
         return True
 
--- a/figfold/core/admission/service_admission.py
+++ b/figfold/core/admission/service_admission.py
@@ -181,6 +181,11 @@
         request.state = State.ENDED
         self._update(now_s)
 
+    def refresh(self, now_s):
+        """Update whether the service is short, also if no request comes."""
+        self._now_s = now_s
+        self._update(now_s)
+
     def admit_all(self):
         """Admit all waiting requests, because admission control is switched off."""
         while self.queue:
--- a/figfold/core/admission/shortage.py
+++ b/figfold/core/admission/shortage.py
@@ -1,13 +1,16 @@
 """Detects with hysteresis whether a service is short of room for this entry's requests."""
 
-from math import inf
+from math import exp, inf
 
-from attrs import Factory, define
-
-from figfold.core.admission.demand import DecayedSum
+from attrs import define
 
 # Time constant with which attempts lose their weight.
 WINDOW_S = 1.0
+# Most weight that they lose with the next attempt. An entry may send a small service only one or
+# two requests a second, and then goes by the last four or so.
+MAX_LOSS = 0.25
+# Time without attempts after which nothing is known.
+STALE_S = 5.0
 # Share of pressed attempts above which a service is short, and below which it no longer is.
 ENTER_SHARE = 0.3
 LEAVE_SHARE = 0.1
@@ -15,9 +18,8 @@
 # are full beside others that are not, the choice of servers is uneven. A limit would leave free
 # slots unused then: with randomly chosen servers, a third of the capacity at a load of 0.9.
 FREE_SLOT_WEIGHT = 2.0
-# Least weight of recent attempts that shows a shortage. An entry may send a small service only two
-# or three requests a second.
-MIN_ATTEMPTS = 1.5
+# Least weight of recent attempts that shows a shortage, which takes three attempts.
+MIN_ATTEMPTS = 2.3
 # Time for which nothing must have waited at the entry before a shortage ends. An entry with few
 # requests often has an empty queue while the service is still short.
 LEAVE_AFTER_S = 2.0
@@ -44,28 +46,27 @@
 
     is_short: bool = False
     backlogged_s: float = -inf
-    _attempts: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
-    _pressed: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
-    _free: DecayedSum = Factory(lambda: DecayedSum(WINDOW_S))
+    _attempts: float = 0.0
+    _excess: float = 0.0
+    _observed_s: float = -inf
 
     def observe(self, is_pressed, has_free_slot, now_s):
         """Count an attempt, with whether its server reported a free slot."""
-        self._attempts.add(1.0, now_s)
-        if is_pressed:
-            self._pressed.add(1.0, now_s)
-        elif has_free_slot:
-            self._free.add(1.0, now_s)
+        age_s = max(0.0, now_s - self._observed_s)
+        kept = 0.0 if age_s > STALE_S else max(1.0 - MAX_LOSS, exp(-age_s / WINDOW_S))
+        self._attempts = kept * self._attempts + 1.0
+        excess = 1.0 if is_pressed else -FREE_SLOT_WEIGHT * has_free_slot
+        self._excess = kept * self._excess + excess
+        self._observed_s = now_s
 
     def pressed_share(self, now_s):
         """Return by how much pressed attempts exceed those at servers with free slots.
 
         The result is a share of all attempts, and 0 if there are too few to tell.
         """
-        attempts = self._attempts.value(now_s)
-        if attempts < MIN_ATTEMPTS:
+        if self._attempts < MIN_ATTEMPTS or now_s - self._observed_s > STALE_S:
             return 0.0
-        excess = self._pressed.value(now_s) - FREE_SLOT_WEIGHT * self._free.value(now_s)
-        return max(0.0, excess) / attempts
+        return max(0.0, self._excess) / self._attempts
 
     def update(self, is_backlogged, now_s):
         """Update ``is_short``; return whether it changed.
--- a/figfold/gateway/admission.py
+++ b/figfold/gateway/admission.py
@@ -122,6 +122,12 @@
         admission = self._admission_by_service.get(service)
         return admission is not None and admission.shortage.is_short
 
+    def retain_services(self, names):
+        """Drop the state of services that no longer exist and have no requests."""
+        for service, admission in list(self._admission_by_service.items()):
+            if service not in names and not admission.in_progress and not admission.queue:
+                del self._admission_by_service[service]
+
     def switch_off(self):
         """Admit all waiting requests, and forget the state of the services."""
         for admission in self._admission_by_service.values():
@@ -130,6 +136,8 @@
 
     def gauges(self):
         """Return the current values for the metrics."""
+        for admission in self._admission_by_service.values():
+            admission.refresh(now_s())
         return [
             (name, {"service": service}, value)
             for service, one in self._admission_by_service.items()
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -152,6 +152,9 @@
     def retain_routes(self, route_by_name):
         """Drop the state of routes that no longer exist."""
         self.splitter.retain_routes(route_by_name)
+        self.admission.retain_services(
+            {one.service for route in route_by_name.values() for one in route.services}
+        )
         for name, service in list(self._durations_by_route):
             if name not in route_by_name:
                 del self._durations_by_route[name, service]
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -57,6 +57,8 @@
         Limit on the requests per second from all entries that its answers name, or None.
     pause_s : float
         Pause that its refusals ask for; 0 for none.
+    queue_limit : int or None
+        Waiting requests beyond which it refuses more, or None for no limit.
     cold_start_s : float
         For how long after its start the server reports itself as cold.
     runs : Counter
@@ -75,6 +77,7 @@
     cold_s: float = 0.06
     warm_s: float = 0.02
     slots: int = 3
+    queue_limit: int | None = None
     cold_start_s: float = 0.0
     fault: str = ""
     error_status: str = ""
@@ -93,6 +96,7 @@
     _listener: object = None
     _free_slots: Semaphore = None
     _running: int = 0
+    _waiting: int = 0
     _cached_keys: OrderedDict = field(factory=OrderedDict)
     # Connections on which a refusal is still to be written again.
     _refused: set = field(factory=set)
@@ -171,9 +175,12 @@
             return self._redirect(sock, request_id)
         self.arrived_s_by_request[request_id] = time.monotonic()
         self._repeat_refusal(sock, request_id)
-        if self.fault in ("shed", "shed-twice"):
+        is_full = self.queue_limit is not None and self._waiting >= self.queue_limit
+        if self.fault in ("shed", "shed-twice") or is_full:
             return self._refuse(sock, request_id)
+        self._waiting += 1
         with self._free_slots:
+            self._waiting -= 1
             self._run(request_id, headers.get("affinity-key", ""))
             if _is_closed(sock):
                 self.cancelled += 1
@@ -182,7 +189,7 @@
         response_headers = {
             "Attempt-Id": "other" if self.fault == "foreign" else request_id,
             "Response-Seal": f"seal-{self.id}",
-            "Instance-Load": f"{self._running},0,{self.slots},100",
+            "Instance-Load": f"{self._running},{self._waiting},{self.slots},100",
         } | self._state_notices(request_id)
         if self.fault == "cut-head":
             sock.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\n".encode())
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -1,5 +1,6 @@
 """Admission control under a shortage, without a network."""
 
+import time
 import unittest
 from itertools import count
 from types import SimpleNamespace
@@ -11,6 +12,7 @@
 from hypothesis import strategies as st
 from result import Err
 
+from bench.platform_deployment import PlatformDeployment, ServiceServers, make_configuration
 from figfold.core.admission.concurrency_limit import REJECTED_FACTOR, ConcurrencyLimit
 from figfold.core.admission.fair_queue import FairOrder
 from figfold.core.admission.repeats import REPEAT_WINDOW_S, RepeatDetector
@@ -26,6 +28,7 @@
     ENTER_SHARE,
     LEAVE_AFTER_S,
     LEAVE_SHARE,
+    STALE_S,
     ShortageDetector,
     is_crowded,
 )
@@ -309,6 +312,26 @@
         self.assertGreater(tally.in_time, 0.6 * tally.answered)
 
 
+class SmallServiceTest(unittest.TestCase):
+    """72 entries send a service of 60 slots less than two requests a second each."""
+
+    def run_service(self, factor, is_on):
+        kind = Kind("downloads", steadily(factor * 60 / 0.444), 0.44, 0.724, 3.62)
+        return Load([kind], 20, 72, is_on).run(12.0).tally("", 4.0, 11.0)
+
+    def test_entries_with_few_requests_see_the_shortage(self):
+        for factor in (1.2, 2.4):
+            controlled, free = self.run_service(factor, True), self.run_service(factor, False)
+            self.assertLess(free.in_time, 0.05 * free.answered)
+            self.assertGreater(controlled.in_time, 0.3 * controlled.answered)
+            self.assertGreater(controlled.answered, 0.88 * free.answered)
+
+    def test_nothing_changes_without_a_shortage(self):
+        controlled, free = self.run_service(0.7, True), self.run_service(0.7, False)
+        self.assertGreater(controlled.in_time, 0.97 * free.in_time)
+        self.assertEqual(controlled.offered, controlled.answered)
+
+
 class EnoughRoomTest(unittest.TestCase):
     """Holding requests back while slots are free lowers what callers get."""
 
@@ -354,6 +377,19 @@
         detector.observe(True, False, 0.0)
         self.assertFalse(detector.update(False, 0.0))
 
+    def test_attempts_are_forgotten(self):
+        detector = ShortageDetector()
+        for _ in range(20):
+            detector.observe(True, False, 0.0)
+        self.assertGreater(detector.pressed_share(0.0), ENTER_SHARE)
+        self.assertEqual(0.0, detector.pressed_share(STALE_S + 0.1))
+
+    def test_free_slots_count_against_full_servers(self):
+        detector = ShortageDetector()
+        for number in range(300):
+            detector.observe(number % 3 < 2, number % 3 == 2, number * 0.01)
+        self.assertLess(detector.pressed_share(3.0), ENTER_SHARE)
+
     def test_it_lasts_while_requests_wait_at_the_entry(self):
         detector = ShortageDetector(is_short=True, backlogged_s=0.0)
         for step in range(100):
@@ -405,6 +441,8 @@
     @given(st.lists(st.sampled_from((1.0, 2.0, 4.0)), min_size=2, max_size=6))
     def test_backlogged_flows_are_served_by_their_weights(self, weights):
         order = FairOrder(lambda flow: weights[flow])
+        for flow in range(len(weights)):
+            order.join(flow)
         served = [0] * len(weights)
         for _ in range(300):
             flow = order.next_flow(range(len(weights)))
@@ -416,9 +454,11 @@
     def test_an_idle_flow_gains_no_more_than_its_credit(self):
         for credit in (0, 3):
             order = FairOrder(lambda _flow: 1.0, credit)
+            order.join("busy")
             for _ in range(100):
                 order.serve("busy")
             served = []
+            order.join("idle")
             for _ in range(20):
                 flow = order.next_flow(("busy", "idle"))
                 order.serve(flow)
@@ -612,5 +652,69 @@
         self.assertEqual([], self.runner.admission.gauges())
 
 
+class ProcessTest(unittest.TestCase):
+    """An entry process whose callers ask for several times what its servers can run."""
+
+    CALLERS = 60
+    LOAD_S = 3.0
+    WAIT_S = 15.0
+
+    def setUp(self):
+        route = {"kind": "safe", "timeoutS": 1.0, "service": "stock", "prefix": "/any/"}
+        configuration = make_configuration(1, {"any": route | {"sticky": False}})
+        servers = (ServiceServers("stock", "bne-north", 3),)
+        self.deployment = PlatformDeployment({"bne-north": "bne"}, servers, configuration)
+        self.addCleanup(self.deployment.stop)
+        for endpoint in self.deployment.endpoint_by_id.values():
+            endpoint.cold_s = endpoint.warm_s = 0.1
+            endpoint.queue_limit = 9
+        self.entry = self.deployment.start_entry("entry-1", "bne-north", admission="on")
+        self.status_by_id = {}
+        self.headers_by_id = {}
+
+    def call_until(self, caller, end_s):
+        for number in count():
+            if time.monotonic() >= end_s:
+                return
+            request_id = f"c{caller}-{number}"
+            status, headers, _ = self.entry.request(
+                request_id, path=f"/any/{request_id}", key=request_id, deadline_ms=1000
+            )
+            self.status_by_id[request_id] = status
+            self.headers_by_id[request_id] = headers
+            if status != 200:
+                eventlet.sleep(0.2)
+
+    def wait_for_event(self, name):
+        end_s = time.monotonic() + self.WAIT_S
+        while time.monotonic() < end_s:
+            if any(one["event"] == name for one in self.entry.events()):
+                return True
+            self.entry.get("metrics", "/metrics")
+            eventlet.sleep(0.2)
+        return False
+
+    def test_requests_are_held_or_refused_as_not_run_until_the_shortage_ends(self):
+        end_s = time.monotonic() + self.LOAD_S
+        callers = [eventlet.spawn(self.call_until, one, end_s) for one in range(self.CALLERS)]
+        for caller in callers:
+            caller.wait()
+        self.assertTrue(self.wait_for_event("service-short"))
+        self.assertTrue(self.wait_for_event("service-not-short"))
+        refused = [one for one in self.entry.events() if one.get("code") == Code.SERVICE_SHORT]
+        self.assertTrue(refused)
+        for event in refused:
+            self.assertEqual("refused", event["event"])
+            self.assertEqual(503, self.status_by_id[event["id"]])
+            self.assertGreater(float(self.headers_by_id[event["id"]]["Retry-After"]), 0.0)
+            self.assertEqual(0, self.deployment.runs(event["id"]))
+        self.assertIn(200, self.status_by_id.values())
+        metrics = self.entry.get("metrics", "/metrics")[2].decode()
+        self.assertIn('figfold_admission_refusals_total{reason="', metrics)
+        self.assertIn('figfold_admission_wait_seconds{quantile="0.5",service="stock"}', metrics)
+        self.assertIn('figfold_service_short{service="stock"} 0', metrics)
+        self.assertIn('figfold_admission_queued{service="stock"} 0', metrics)
+
+
 if __name__ == "__main__":
     unittest.main()
