--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -105,7 +105,6 @@
             name = organisation.name if organisation else None
             request = evolve(request, headers=with_organisation(request.headers, name))
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
-        self.retry_budget(service).count_request(now_s())
         if self.settings.hedge_ratio > 0.0:
             self.hedging.count_request(service, now_s())
         self.overflow_limiter.count_request(now_s())
@@ -176,6 +175,9 @@
         """Drop the state of routes that no longer exist."""
         self.splitter.retain_routes(route_by_name)
         self.hedging.retain_routes(route_by_name)
+        self.admission.retain_services(
+            {one.service for route in route_by_name.values() for one in route.services}
+        )
         for name, service in list(self._durations_by_route):
             if name not in route_by_name:
                 del self._durations_by_route[name, service]
