Check a configuration before it is stored

A configuration with a mistyped service, a rule that stands twice or homes that exclude each other came into force, and showed only as refused requests.

figfold config check reads a configuration file and prints every fault with its part: what entries cannot read, routes that never match, limits that contradict each other, API keys of several organisations by name, homes without servers where an entry's settings are given, and what differs from the version in force. Codes 111 to 113.

--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -16,7 +16,7 @@
 class Code(IntEnum):
     """Result codes, grouped by hundreds.
 
-    1xx settings, 2xx sheet and plan, 3xx request refused, 4xx request attempted,
+    1xx settings and configuration, 2xx sheet and plan, 3xx request refused, 4xx request attempted,
     5xx look-up, 6xx platform, 7xx peer, 8xx command line, 9xx the entry itself.
     """
 
@@ -31,6 +31,11 @@
     SETTINGS_MISSING = 106
     SETTINGS_DUPLICATE = 107
 
+    # Operator's configuration, as a file.
+    CONFIGURATION_UNREADABLE = 111
+    CONFIGURATION_BAD_VALUE = 112
+    CONFIGURATION_CONTRADICTS = 113
+
     # Sheet and plan.
     SHEET_UNREADABLE = 201
     SHEET_HEADER = 202
--- a/figfold/platform/decoding.py
+++ b/figfold/platform/decoding.py
@@ -4,8 +4,9 @@
 import binascii
 import json
 import re
+from collections import Counter
 
-from attrs import frozen
+from attrs import evolve, frozen
 from result import Err, Ok
 
 from figfold.core.addresses import parse_address
@@ -146,6 +147,65 @@
         return Err(Failure(Code.STORE_BAD_ANSWER, message, REMEDY))
 
 
+def decode_configuration_parts(value):
+    """Return a configuration of the valid parts of a value, and a failure for each other part.
+
+    Returns
+    -------
+    tuple[Configuration, tuple[Failure, ...]]
+    """
+    failures = []
+
+    def decode(part, function, *arguments, default=None):
+        try:
+            return function(*arguments)
+        except FieldError as error:
+            failures.append(
+                Failure(Code.CONFIGURATION_BAD_VALUE, str(error), REMEDY, field=part[:80])
+            )
+            return default
+
+    def decode_all(kind, name, function):
+        items = decode(name, _object, value, name, default={})
+        decoded = {one: decode(f"{kind} {one}", function, one, item) for one, item in items.items()}
+        return {one: item for one, item in decoded.items() if item is not None}
+
+    organisation_by_name, found = decode(ORGANISATIONS, _organisations, value, default=({}, ()))
+    configuration = Configuration(
+        version=decode("version", lambda: _version(value.get("version")), default=0),
+        route_by_name=decode_all("route", "routes", _route),
+        service_by_name=decode_all("service", "services", _service),
+        limits=decode("limits", _limits, value, default=CallerLimits()),
+        organisation_by_name=organisation_by_name,
+        has_organisations=value.get(ORGANISATIONS) is not None,
+        failures=found,
+    )
+    failures += [evolve(one, code=Code.CONFIGURATION_BAD_VALUE) for one in found]
+    return configuration, tuple(failures)
+
+
+def find_repeated_names(data):
+    """Return the paths of names that stand twice in one object of a valid JSON text.
+
+    Whatever is in place of API keys is left out, as it may be a key.
+    """
+    return list(_repeated_names(json.loads(data, object_pairs_hook=tuple), ()))
+
+
+def _repeated_names(value, path):
+    """Yield the paths in a value whose objects are tuples of pairs."""
+    if isinstance(value, list):
+        for one in value:
+            yield from _repeated_names(one, path)
+    if not isinstance(value, tuple):
+        return
+    counts = Counter(name for name, _ in value)
+    yield from (".".join((*path, name)) for name, count in counts.items() if count > 1)
+    for name, item in value:
+        if name != API_KEYS:
+            yield from _repeated_names(item, (*path, name))
+
+
 def replace_keys(value):
     """Return the value of a configuration row with digests in place of API keys."""
     organisations = value.get(ORGANISATIONS)
--- a/figfold/ui/commands.py
+++ b/figfold/ui/commands.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from figfold.ui.arguments import read_flag, read_seconds
+from figfold.ui.configurations import check_configuration
 from figfold.ui.log_analysis import summarize_refusals, trace_request
 from figfold.ui.output import Report, UserError
 from figfold.ui.overview import explain_choice, show_status
@@ -53,6 +54,25 @@
     return Command(lambda: check_settings(file, form), read_flag(json))
 
 
+@requires_values
+def config_check(file, *, in_force="", settings="", json=False):
+    """Check a configuration for the users' platform before it is stored, and print all faults.
+
+    Parameters
+    ----------
+    file : str
+        The value of the configuration's row, as JSON.
+    in_force : str
+        The configuration in force, likewise, to show what differs.
+    settings : str
+        The settings file of an entry on the users' platform, to compare homes with the servers that
+        the store lists.
+    json : bool
+        Print JSON.
+    """
+    return Command(lambda: check_configuration(file, in_force, settings), read_flag(json))
+
+
 @requires_values
 def sheet_check(file, *, settings, json=False):
     """Check a sheet and print all faults; nothing is applied.
@@ -327,6 +347,7 @@
 
 COMMANDS = {
     "settings": {"check": settings_check},
+    "config": {"check": config_check},
     "sheet": {"check": sheet_check, "apply": sheet_apply},
     "plan": {
         "show": plan_show,
--- a/figfold/ui/platform_status.py
+++ b/figfold/ui/platform_status.py
@@ -61,7 +61,7 @@
 
 def show_platform(settings):
     """Return the report on the store and on how current each entry's view of it is."""
-    view = read_store(_open_store(settings))
+    view = read_store(open_store(settings))
     metrics_by_entry = {entry.name: fetch_metrics(entry.metrics_address) for entry in view.entries}
     return report_platform(view, metrics_by_entry)
 
@@ -93,7 +93,7 @@
 
 def explain_route(settings, host, path):
     """Return the report on the route that matches a request and on its servers."""
-    return report_route(read_store(_open_store(settings)), host, path)
+    return report_route(read_store(open_store(settings)), host, path)
 
 
 def report_route(view, host, path):
@@ -147,7 +147,8 @@
     return dict(METRIC_LINE.findall(answer.data.decode("utf-8", "replace")))
 
 
-def _open_store(settings):
+def open_store(settings):
+    """Return the `RowStore` that a settings file of an entry names."""
     loaded = unwrap(load_gateway_settings(settings))
     return RowStore.from_config(loaded.store_address, loaded.store_timeout_s)
 
