--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -620,11 +620,13 @@
             log=Mock(),
             settings=self.settings(False),
             on_suspected_crash=None,
+            region_shares=Mock(),
         )
 
     def settings(self, is_on):
         return SimpleNamespace(
             admission=is_on,
+            hedge_ratio=0.0,
             revocation_bound_s=0.0,
             retry_window_s=10.0,
             retry_ratio=0.2,
--- a/test/test_gateway_run.py
+++ b/test/test_gateway_run.py
@@ -24,6 +24,7 @@
 def make_run(choice, timeout_s=TIMEOUT_S, caller_s=4.0, limit_wait_s=0.0):
     runner = Mock(answers_until_s=inf)
     runner.settings.region_balancing = False
+    runner.settings.hedge_ratio = 0.0
     runner.selector.choose.return_value = choice
     runner.selector.limit_wait_s.return_value = limit_wait_s
     runner.overflow_limiter.try_acquire.return_value = False
