--- a/test/virtual_gateway.py
+++ b/test/virtual_gateway.py
@@ -6,13 +6,14 @@
 from urllib.parse import parse_qsl, urlsplit
 
 import eventlet
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 from loguru import logger
 from result import Err, Ok
 
 from figfold.config.gateway_settings import GatewaySettings
 from figfold.config.section_settings import PeerSettings
 from figfold.core.codes import Code, Failure
+from figfold.core.regions.balancer import STEP_S
 from figfold.gateway.process import GatewayProcess
 from figfold.platform.answers import Answer
 from figfold.platform.rows import RowStore
@@ -132,6 +133,8 @@
         Requests for the store's rows that an entry has received.
     slow_pairs : set[frozenset[str]]
         Pairs of entries whose replies with rows arrive too late, as on a full link; reports do not.
+    changed_settings : dict[str, object]
+        Settings of the entries that start, apart from the packaged defaults.
     """
 
     hub: VirtualHub
@@ -152,6 +155,7 @@
     row_requests_by_entry: Counter = Factory(Counter)
     news_told: int = 0
     random: Random = Factory(lambda: Random(1))
+    changed_settings: dict = Factory(dict)
     leavings: list = Factory(list)
     _starts: int = 0
     _rows_by_server: Counter = Factory(Counter)
@@ -182,6 +186,7 @@
         ip = ip_by_entry.get(name, f"10.1.{len(ip_by_entry) >> 8}.{len(ip_by_entry) & 255}")
         self.entry_by_ip[ip] = name
         settings = make_settings(name, place, ip, self.region_by_place)
+        settings = evolve(settings, **self.changed_settings)
         self.place_by_entry[name] = place
         self.process_by_entry[name] = process
         self.hub.run_as(process, self._start, name, settings)
@@ -195,6 +200,7 @@
         gateway.store_sync.start()
         eventlet.spawn_n(gateway._register)
         gateway._start_loop("peers", settings.peers.interval_s, gateway.prober.start_round)
+        gateway._start_loop("regions", STEP_S, gateway.request_runner.region_shares.update)
 
     def kill(self, name):
         """End the process of an entry at once."""
