Let the estimate of a machine's speed decay to the mean of what was seen

It decayed to 1, the best speed: over machines of which 15 % take 2.5 times as long, an old report and no report promised 1.0 where 1.22 is the mean, so that a server of unknown speed was ranked like one known to be fast. A rejection without a report made the last speed count as current again.

All servers share one mean, and the age of a speed counts from its own report.

--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -18,7 +18,7 @@
 )
 from figfold.core.traffic.ranking import FleetRanking
 from figfold.core.traffic.server_limits import ServerLimits, part_of_limit
-from figfold.core.traffic.server_load import ServerLoad
+from figfold.core.traffic.server_load import ServerLoad, UsualSlowdown
 
 # Cost of a cold run for the objects that it displaces, as equivalent waiting time.
 DISPLACEMENT_COST_S = 0.15
@@ -110,6 +110,7 @@
         lambda self: FleetRanking(self.fleet, self.region_by_place), takes_self=True
     )
     load_by_server: dict = Factory(dict)
+    usual_slowdown: UsualSlowdown = Factory(UsualSlowdown)
     _started_ms_by_server: dict = Factory(dict)
 
     def load(self, server):
@@ -117,7 +118,7 @@
         record = server.record
         load = self.load_by_server.get(record.id)
         if load is None or self._started_ms_by_server.get(record.id) != record.started_ms:
-            load = ServerLoad(max(1, record.slots))
+            load = ServerLoad(max(1, record.slots), usual_slowdown=self.usual_slowdown)
             self.load_by_server[record.id] = load
             self._started_ms_by_server[record.id] = record.started_ms
         return load
--- a/figfold/core/traffic/server_load.py
+++ b/figfold/core/traffic/server_load.py
@@ -8,6 +8,7 @@
 # Time constants of the exponential decay with which estimates lose their weight.
 REPORT_DECAY_S = 1.0  # Other entries' requests, as a server reports them.
 MACHINE_SLOWDOWN_DECAY_S = 0.6  # A machine's slowdown changes several times a second.
+USUAL_SLOWDOWN_SMOOTHING = 0.01  # Weight of a report in the mean over all servers.
 SERVER_SLOWDOWN_DECAY_S = 4.0  # A server's own slowdown lasts for seconds.
 SLOWDOWN_SMOOTHING = 0.4  # Weight of a new sample.
 MAX_SLOWDOWN_SAMPLE = 12.0  # Samples are capped, so that one straggler does not decide.
@@ -40,6 +41,18 @@
     slowdown: float = 1.0
 
 
+@define
+class UsualSlowdown:
+    """Mean slowdown of the machines of all servers, for those whose own is not known now."""
+
+    value: float = 1.0
+
+    def add(self, slowdown):
+        """Add what an answer reports."""
+        sample = min(MAX_SLOWDOWN_SAMPLE, slowdown)
+        self.value += USUAL_SLOWDOWN_SMOOTHING * (sample - self.value)
+
+
 @define
 class ServerLoad:
     """Load and health of one server as this entry estimates them; times are monotonic seconds.
@@ -51,7 +64,11 @@
     other_requests : float
         Requests of other entries at the server, at the latest report.
     machine_slowdown : float
-        Slowdown of the server's machine, at the latest report.
+        Slowdown of the server's machine, at the latest report of it.
+    machine_slowdown_s : float
+        When that was.
+    usual_slowdown : UsualSlowdown
+        Of all servers' machines.
     server_slowdown : float
         Mean ratio of the attempts' durations to the expected ones.
     warm_keys : OrderedDict
@@ -62,6 +79,8 @@
     in_flight: dict[int, float] = Factory(dict)
     other_requests: float = 0.0
     machine_slowdown: float = 1.0
+    machine_slowdown_s: float = -inf
+    usual_slowdown: UsualSlowdown = Factory(UsualSlowdown)
     reported_s: float = -inf
     server_slowdown: float = 1.0
     server_slowdown_s: float = -inf
@@ -94,7 +113,8 @@
             self.slots = report.slots
         self.other_requests = max(0.0, report.running + report.waiting - len(self.in_flight))
         self.machine_slowdown = max(0.1, report.slowdown)
-        self.reported_s = now_s
+        self.usual_slowdown.add(self.machine_slowdown)
+        self.machine_slowdown_s = self.reported_s = now_s
 
     def observe_shed(self, now_s):
         """Update the load after the server has rejected a request because it was full."""
@@ -128,9 +148,10 @@
         )
 
     def current_machine_slowdown(self, now_s):
-        """Return the machine's slowdown, which decays to 1 with the age of the report."""
-        return 1.0 + (self.machine_slowdown - 1.0) * _decay(
-            now_s - self.reported_s, MACHINE_SLOWDOWN_DECAY_S
+        """Return the machine's slowdown, which decays to the usual one with the report's age."""
+        usual = self.usual_slowdown.value
+        return usual + (self.machine_slowdown - usual) * _decay(
+            now_s - self.machine_slowdown_s, MACHINE_SLOWDOWN_DECAY_S
         )
 
     def current_server_slowdown(self, now_s):
--- a/test/test_regions.py
+++ b/test/test_regions.py
@@ -33,6 +33,7 @@
 from figfold.core.traffic.retry_decision import AttemptOutcome
 from figfold.core.traffic.selection import Selector
 from figfold.core.traffic.server_limits import ServerLimits
+from figfold.core.traffic.server_load import LoadReport, ServerLoad, UsualSlowdown
 from figfold.gateway.region_shares import RegionShares
 from figfold.gateway.request_run import RequestRun
 from figfold.gateway.requests import GatewayRequest
@@ -520,6 +521,59 @@
         self.assertLessEqual(answered, 9)
 
 
+class MachineSpeedTest(unittest.TestCase):
+    """The speed of each machine changes every 600 ms; 15 % take 2.5 times the usual duration."""
+
+    SERVERS, PERIOD_S, SHARE, FACTOR = 40, 0.6, 0.15, 2.5
+
+    def play(self, seconds=60.0, interval_s=0.5):
+        """Return (age of the report, estimate, truth) of servers at many times, and their loads."""
+        random, usual, now_s, samples = Random(5), UsualSlowdown(), 0.0, []
+        loads = [ServerLoad(3, usual_slowdown=usual) for _ in range(self.SERVERS)]
+        reported = [-inf] * self.SERVERS
+        epoch, speeds = -1, []
+        while now_s < seconds:
+            now_s += random.expovariate(self.SERVERS / interval_s)
+            if int(now_s / self.PERIOD_S) != epoch:
+                epoch = int(now_s / self.PERIOD_S)
+                speeds = [
+                    self.FACTOR if random.random() < self.SHARE else 1.0
+                    for _ in range(self.SERVERS)
+                ]
+            number = random.randrange(self.SERVERS)
+            estimate = loads[number].current_machine_slowdown(now_s)
+            samples.append((now_s - reported[number], estimate, speeds[number], now_s))
+            loads[number].observe_report(LoadReport(1, 0, 3, speeds[number]), now_s)
+            reported[number] = now_s
+        return [one[:3] for one in samples if one[3] > seconds / 2], loads, now_s
+
+    # The estimate decayed to 1, the best speed, so that an old report and no report at all promised
+    # a faster server than there is on average.
+    def test_estimate_decays_to_the_mean_of_what_was_seen(self):
+        samples, loads, now_s = self.play()
+        mean = 1.0 + self.SHARE * (self.FACTOR - 1.0)
+        for low_s, high_s in ((0.0, 0.2), (0.2, 0.6), (1.2, 9.0)):
+            inside = [(one, true) for age_s, one, true in samples if low_s <= age_s < high_s]
+            error = sum(one - true for one, true in inside) / len(inside)
+            self.assertLess(abs(error), 0.1, (low_s, len(inside)))
+        for load in loads:
+            self.assertAlmostEqual(load.current_machine_slowdown(now_s + 9.0), mean, delta=0.1)
+
+    def test_server_of_unknown_speed_is_not_preferred_to_a_fast_one(self):
+        _, loads, now_s = self.play()
+        unknown = ServerLoad(3, usual_slowdown=loads[0].usual_slowdown)
+        loads[0].observe_report(LoadReport(1, 0, 3, 1.0), now_s)
+        fast = loads[0].current_machine_slowdown(now_s + 0.1)
+        self.assertLess(fast, unknown.current_machine_slowdown(now_s + 0.1) - 0.1)
+
+    # A rejection without a report made the last speed count as current again.
+    def test_rejection_does_not_renew_the_age_of_a_speed(self):
+        load = ServerLoad(3)
+        load.observe_report(LoadReport(1, 0, 3, 2.5), 0.0)
+        load.observe_shed(5.0)
+        self.assertLess(load.current_machine_slowdown(5.0), 1.1)
+
+
 class ReportTest(unittest.TestCase):
     def test_reports_that_state_no_demand_cost_no_bytes_and_are_read_as_unknown(self):
         own = EntryReport("e", "a1", 1, "", "", "", False, 0, "", 0.0)
