--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -242,6 +242,14 @@
         for checked in ("ready asked", "limits checked", "pauses checked"):
             self.assertGreater(counts[checked], 0, (checked, dict(counts)))
 
+    # Entries that were killed, restarted or cut off from the store admitted withdrawn keys, and
+    # together more than the limit of an organisation.
+    def test_keys_and_limits_hold_while_entries_come_and_go(self):
+        violations, counts = soak_processes.play(PROCESS_SOAK_SEED, has_organisations=True)
+        self.assertEqual(violations, [])
+        for checked in (200, 401, 429, "withdraw_key", "terminate", "kill"):
+            self.assertGreater(counts[checked], 0, (checked, dict(counts)))
+
 
 if __name__ == "__main__":
     unittest.main()
