Count only rejections for lack of room as a shortage

Servers that leave or that name a limit reject requests although they have slots. An expected queue that the answer disproves counted as a shortage as well. Both are now left out, and the latter is outweighed by the free slot in the answer.

--- a/figfold/gateway/admission.py
+++ b/figfold/gateway/admission.py
@@ -72,7 +72,7 @@
 
     def observe_start(self, choice, route, now):
         """Record the expectation of an attempt that starts, or that would end too late to start."""
-        if choice.will_queue and choice.expected_s > route.target_latency_s:
+        if _is_expected_late(choice, route):
             self.service.observe_attempt(True, False, now)
 
     def observe_end(self, choice, route, warm_s, result, now):
@@ -83,26 +83,21 @@
         warm_s : float
             Expected run time of the route's requests at a warm server.
         """
-        was_expected_late = choice.will_queue and choice.expected_s > route.target_latency_s
-        is_rejected = result.code is Code.SERVER_SHED
+        is_rejected = _is_rejected_as_full(result)
         is_answered = result.outcome is AttemptOutcome.ANSWERED
         if not is_rejected and not is_answered:
             return
         report = result.load
         crowded = report is not None and is_crowded(report, warm_s, route.target_latency_s)
         is_free = report is not None and has_free_slot(report)
-        if not was_expected_late:
-            self.service.observe_attempt(is_rejected or crowded, is_free, now)
+        is_pressed = is_rejected or crowded
+        if not (is_pressed and _is_expected_late(choice, route)):
+            # Pressed attempts that were expected to be late have been counted at their start.
+            self.service.observe_attempt(is_pressed, is_free, now)
         if is_rejected:
             self.service.observe_rejection(now)
             return
-        self.service.observe_answer(
-            choice.run_s,
-            result.duration_s,
-            crowded,
-            is_free,
-            now,
-        )
+        self.service.observe_answer(choice.run_s, result.duration_s, crowded, is_free, now)
 
 
 @define(eq=False)
@@ -165,6 +160,18 @@
         ).info("service-short" if shortage.is_short else "service-not-short")
 
 
+def _is_expected_late(choice, route):
+    return choice.will_queue and choice.expected_s > route.target_latency_s
+
+
+def _is_rejected_as_full(result):
+    if result.code is not Code.SERVER_SHED:
+        return False
+    # A server that leaves, or that names a limit, rejects requests although it has room.
+    head = result.head
+    return head is None or not (head.is_leaving or head.rate_limit_per_s is not None)
+
+
 def _admission_request(run):
     organisation = run.organisation
     return AdmissionRequest(
