Keep the weights of organisations within the bound of a quarter

The least weight of an organisation could raise the sum of the weights beyond 4/3, and thereby lower others below a quarter of their share. Property tests check the bound.

--- a/figfold/core/admission/demand.py
+++ b/figfold/core/admission/demand.py
@@ -53,10 +53,6 @@
         known = self._sum_by_name.get(name)
         return known.value(now_s) / total if known is not None and total > 0.0 else 0.0
 
-    def name_count(self):
-        """Return the number of known names, at least 1."""
-        return max(1, len(self._sum_by_name))
-
     def _drop_idle(self, now_s):
         self._sum_by_name = {
             name: one for name, one in self._sum_by_name.items() if one.value(now_s) >= MIN_WEIGHT
--- a/figfold/core/admission/service_admission.py
+++ b/figfold/core/admission/service_admission.py
@@ -16,8 +16,8 @@
 # raised to it, they add up to no more than 4/3, so that none is served less than a quarter as often
 # as all.
 MIN_PART_OF_DEMAND = 1.0 / 3.0
-# Least share of an organisation, of what an equal one would be.
-MIN_PART_OF_EQUAL = 0.25
+# Least weight of an organisation, whose demand may have lost nearly all of its weight.
+MIN_ORGANISATION_WEIGHT = 1e-4
 # Time constants of the current and of the usual demand.
 CURRENT_DEMAND_S = 2.0
 USUAL_DEMAND_S = 60.0
@@ -275,5 +275,4 @@
     def _organisation_weight(self, organisation):
         usual = self._usual_demand.share(organisation, self._now_s)
         current = self._current_demand.share(organisation, self._now_s)
-        equal = 1.0 / self._usual_demand.name_count()
-        return max(usual, MIN_PART_OF_DEMAND * current, MIN_PART_OF_EQUAL * equal)
+        return max(usual, MIN_PART_OF_DEMAND * current, MIN_ORGANISATION_WEIGHT)
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -139,6 +139,37 @@
         for kind in kinds:
             self.assertGreaterEqual(load.tally(kind.name, 2.0, 6.0).ratio, 0.25 * all_ratio)
 
+    @given(st.lists(st.integers(0, 60), min_size=3, max_size=3))
+    def test_weights_give_each_priority_a_quarter_of_its_share_of_the_demand(self, counts):
+        admission = ServiceAdmission(Mock())
+        for priority, number in enumerate(counts):
+            for _ in range(number):
+                ask(admission, priority=priority)
+        weights = [admission._priority_weight(one) for one in range(3)]
+        for weight, number in zip(weights, counts, strict=True):
+            share = number / max(1, sum(counts))
+            self.assertGreaterEqual(weight / sum(weights), 0.25 * share - 1e-9)
+
+    @given(
+        st.lists(st.integers(1, 60), min_size=2, max_size=6),
+        st.lists(st.integers(0, 60), min_size=6, max_size=6),
+    )
+    def test_weights_give_each_organisation_a_quarter_of_its_share(self, usual, current):
+        admission = ServiceAdmission(Mock())
+        names = [f"o{one}" for one in range(len(usual))]
+        for name, number in zip(names, usual, strict=True):
+            for _ in range(number):
+                ask(admission, 0.0, organisation=name)
+        demand = dict(zip(names, current, strict=False))
+        for name, number in demand.items():
+            for _ in range(number):
+                ask(admission, 100.0, organisation=name)
+        weight_by_name = {name: admission._organisation_weight(name) for name in names}
+        total = sum(weight_by_name.values())
+        for name, number in demand.items():
+            share = number / max(1, sum(demand.values()))
+            self.assertGreaterEqual(weight_by_name[name] / total, 0.249 * share)
+
 
 class HotOrganisationTest(unittest.TestCase):
     """One organisation at six times its usual load takes the room of all others."""
