Let free slots weigh more against a shortage

With randomly chosen servers a limit left a quarter of the capacity unused at 1.2 times the capacity.

--- a/figfold/core/admission/shortage.py
+++ b/figfold/core/admission/shortage.py
@@ -17,7 +17,7 @@
 # Attempts at servers with free slots count this many times against pressed ones. If some servers
 # are full beside others that are not, the choice of servers is uneven. A limit would leave free
 # slots unused then: with randomly chosen servers, a third of the capacity at a load of 0.9.
-FREE_SLOT_WEIGHT = 2.0
+FREE_SLOT_WEIGHT = 3.0
 # Least weight of recent attempts that shows a shortage, which takes three attempts.
 MIN_ATTEMPTS = 2.3
 # Time for which nothing must have waited at the entry before a shortage ends. An entry with few
