Lend shares without headroom and confirm smaller ones at once

Cause: buckets with a fifth of headroom overflowed, which lost up to a sixth of a limit that was in use; and a region got its shares back only some 1.2 s after callers had moved to it. Change: a share has no headroom, a fifth of the limit stays with the quota holder for whoever runs short. An entry confirms a smaller share at once, and quota holders check each 0.125 s whether to borrow or give back. Drawn runs add entries.

--- a/figfold/core/quotas/ledger.py
+++ b/figfold/core/quotas/ledger.py
@@ -16,7 +16,6 @@
     REGION_LEASE_S,
     WHOLE_TOKEN,
     bucket_size,
-    deviation,
     is_limited,
 )
 from figfold.core.quotas.messages import QuotaDemand, QuotaLease, QuotaReply, QuotaRequest
@@ -25,11 +24,11 @@
 # Fraction of a limit that is not lent, so that a new borrower gets some at once.
 RESERVE = 0.03
 # Fraction that is not lent unless demand is far above, for tokens to whoever runs short.
-UNLENT_FRACTION = 0.1
-# Demand, as a fraction of what there is, up to which entries of little demand keep or get a share
-# of their own. Above it, what their buckets would lose is needed elsewhere.
+UNLENT_FRACTION = 0.2
+# Part of an entry, in requests, below which its bucket is full or empty most of the time.
 SMALL_TOKENS = 3.0
-FILL_HEADROOM = 1.3
+# Demand, as a fraction of what there is, up to which entries of small parts keep or get a lease.
+# Above it, what their buckets lose is needed elsewhere.
 KEEP_FRACTION = 0.6
 GIVE_FRACTION = 0.45
 # Fraction up to which a limit is lent without dividing it first.
@@ -37,15 +36,14 @@
 # Level to which the bucket of a borrower that runs short is filled, as a fraction of its size.
 TOP_UP_LEVEL = 0.5
 TOP_UP_FRACTION = 0.5  # Of the tokens that are not lent, for one borrower that runs short.
-# Shares that entries, and regions, are lent above their demand.
-ENTRY_HEADROOM = 1.2
-REGION_HEADROOM = 1.1
-# Share of its own demand that a region keeps before it lends to others.
-LENDER_HEADROOM = 1.05
-# Demand above what there is by this factor is refused without asking again.
+REGION_HEADROOM = 1.1  # Factor of its demand that a region borrows.
+LENDER_HEADROOM = 1.05  # Factor of its own demand that a region keeps before it lends.
 MIN_LOAN = 0.02  # Smallest share that is lent to other regions.
+# Demand above what there is by this factor is refused without asking again.
 SCARCE_FACTOR = 2.0
 SCARCE_PER_S = 20.0  # Less demand causes few messages.
+# Factor of the entries that are enough to use a limit, which get a lease while it is scarce.
+FILL_HEADROOM = 1.3
 CHANGED_FRACTION = 0.1  # Change of a share from which a borrower is told.
 REBALANCE_INTERVAL_S = 0.05
 # What has ended counts as lent for this much longer at most.
@@ -56,17 +54,29 @@
 
 @define
 class _Delegation:
-    """Base share of an entry, until when; and a larger one before it."""
+    """Base share of an entry and when it ends, and larger ones of earlier requests."""
 
     share: float
     until_s: float
-    earlier_share: float = 0.0
-    earlier_until_s: float = -inf
+    earlier: list = Factory(list)
 
     def at(self, at_s):
         """Return the share that is delegated at a time."""
-        share = self.share if at_s < self.until_s else 0.0
-        return max(share, self.earlier_share if at_s < self.earlier_until_s else 0.0)
+        delegated = (self.share, self.until_s), *self.earlier
+        return max((share for share, until_s in delegated if at_s < until_s), default=0.0)
+
+    def renew(self, share, until_s, now_s):
+        """Apply a later request; a larger share that was delegated before stays until its end."""
+        if share < self.share:
+            self.earlier.append((self.share, self.until_s))
+        self.earlier = [one for one in self.earlier if one[0] > share and one[1] > now_s]
+        self.share = share
+        self.until_s = max(self.until_s, until_s)
+
+    @property
+    def ends_s(self):
+        """When nothing is delegated any more."""
+        return max((until_s for _, until_s in self.earlier), default=self.until_s)
 
 
 @define
@@ -233,10 +243,7 @@
         if known is None:
             self._delegation_by_process[process] = _Delegation(share, until_s)
             return
-        if share < known.share:
-            known.earlier_share, known.earlier_until_s = known.at(now_s), known.until_s
-        known.share = share
-        known.until_s = max(known.until_s, until_s)
+        known.renew(share, until_s, now_s)
 
     def _fill(self, pool, now_s):
         """Fill the bucket of what is not lent.
@@ -422,7 +429,7 @@
             elif borrower.reduced:
                 self._settle(borrower, now_s, now_s)
         for process, delegation in list(self._delegation_by_process.items()):
-            if max(delegation.until_s, delegation.earlier_until_s) <= now_s:
+            if max(delegation.until_s, delegation.ends_s) <= now_s:
                 del self._delegation_by_process[process]
 
     def _remove_borrower(self, process, borrower, now_s):
@@ -603,11 +610,14 @@
 
 
 def _want(pool, demand):
-    """Return the share that an entry should have for its demand."""
+    """Return the share that an entry should have for its demand.
+
+    There is no headroom, since a bucket that is often full loses tokens. What an entry lacks at
+    times comes from the tokens that are not lent.
+    """
     if demand <= 0.0:
         return 0.0
-    per_s = ENTRY_HEADROOM * demand + deviation(demand)
-    return min(1.0, max(per_s / pool.organisation.rate_per_s, 1.0 / pool.size))
+    return min(1.0, max(demand / pool.organisation.rate_per_s, 1.0 / pool.size))
 
 
 def _share_spare(want_by_region, spare):
@@ -627,10 +637,11 @@
     """
     total = sum(demand_by_entry.values())
     rate = pool.organisation.rate_per_s
-    part_by_entry, small, left = {}, {}, (1.0 - UNLENT_FRACTION) * share
+    left = lendable = (1.0 - UNLENT_FRACTION) * share
+    part_by_entry, small = {}, {}
     for entry, demand in demand_by_entry.items():
         want = _want(pool, demand)
-        part = min(want, share * demand / total) if demand > 0.0 else 0.0
+        part = min(want, lendable * demand / total) if demand > 0.0 else 0.0
         is_small = part * pool.size < SMALL_TOKENS
         part_by_entry[entry] = 0.0 if is_small else part
         left -= part_by_entry[entry]
--- a/figfold/core/quotas/limiter.py
+++ b/figfold/core/quotas/limiter.py
@@ -319,7 +319,7 @@
         is_whole = lender is None or not lender.is_informed
         demands = self._demands(lender, is_whole, now_s)
         is_due = now_s - self._sent_s >= IDLE_INTERVAL_S - INTERVAL_SLACK_S
-        is_due = is_due or (lender is not None and lender.is_reduced)
+        is_due = is_due or self.is_reduced
         if not (demands or is_due or is_urgent):
             return None
         self._sent_s = now_s
@@ -398,6 +398,11 @@
                 account.permits, account.permits_until_s = lease.permits, now_s + PERMIT_S
         self._clamp(account, now_s)
 
+    @property
+    def is_reduced(self):
+        """Whether the quota holder waits to hear that a smaller share has arrived."""
+        return self._lender is not None and self._lender.is_reduced
+
     def record_failure(self, holder):
         """Record that a quota holder did not reply."""
         if self._lender is not None and self._lender.name == holder:
--- a/figfold/gateway/quota_exchange.py
+++ b/figfold/gateway/quota_exchange.py
@@ -7,11 +7,13 @@
 
 from figfold.core.quotas.holders import HolderChoice
 from figfold.core.quotas.ledger import QuotaLedger
-from figfold.core.quotas.limiter import QuotaLimiter
+from figfold.core.quotas.limiter import INTERVAL_SLACK_S, QuotaLimiter
 from figfold.entry.clock import now_s
 from figfold.wire.messages import QuotaReply
 
 INTERVAL_S = 0.25
+# Between two checks whether this region has to borrow, or to give back.
+REGION_INTERVAL_S = 0.125
 # Longest time that a request waits for tokens that the quota holder may have.
 ASK_WAIT_S = 0.15
 # Shortest time between two requests to the quota holder, for all callers that wait together.
@@ -42,6 +44,7 @@
     _holder: str = ""
     _is_holder_lost: bool = False
     _asked_s: float = float("-inf")
+    _stepped_s: float = float("-inf")
     # Sent when the request to the quota holder that is in progress has ended; None without one.
     _exchange_ended: Event | None = None
     # Sent when the next request has ended for which callers wait.
@@ -133,7 +136,7 @@
             except Exception as error:
                 self.metrics.count("loop_errors", loop="quotas")
                 self.log.opt(exception=error).error("loop step failed", loop="quotas")
-            eventlet.sleep(max(0.0, INTERVAL_S - (now_s() - started)))
+            eventlet.sleep(max(0.0, REGION_INTERVAL_S - (now_s() - started)))
         self.is_running = False
 
     def _step(self, now):
@@ -145,7 +148,9 @@
         for region in self.holders.regions():
             if region != self.region and region not in self._regions_asked:
                 self._ask_region(region, now)
-        eventlet.spawn_n(self._exchange)
+        if now - self._stepped_s >= INTERVAL_S - INTERVAL_SLACK_S:
+            self._stepped_s = now
+            eventlet.spawn_n(self._exchange)
 
     def _choose_holder(self):
         """Return the name of the quota holder of the own region, empty without one."""
@@ -166,13 +171,19 @@
 
     def _exchange(self, is_urgent=False):
         """Send the request that is due to the quota holder and apply its reply."""
+        if self._exchange_once(is_urgent) and self.limiter.is_reduced:
+            # The quota holder can lend the rest once it knows that the reply has arrived.
+            self._exchange_once(False)
+
+    def _exchange_once(self, is_urgent):
+        """Send the request that is due, if any; return whether there was a reply."""
         if self._exchange_ended is not None:
-            return
+            return False
         holder = self._choose_holder()
         now = now_s()
         request = self.limiter.next_request(holder, now, is_urgent) if holder else None
         if request is None:
-            return
+            return False
         self._asked_s = now
         ended = self._exchange_ended = Event()
         try:
@@ -185,6 +196,7 @@
         finally:
             self._exchange_ended = None
             ended.send()
+        return reply is not None
 
     def _report_reachable(self, holder, is_reachable):
         if is_reachable is self._is_holder_lost:
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -29,6 +29,7 @@
 seconds = st.floats(0.5, END_S - 1.0)
 faults = st.one_of(
     st.tuples(st.just("kill"), seconds, st.integers(0, 11), st.floats(0.2, 4.0)),
+    st.tuples(st.just("add"), seconds, st.integers(0, 11), st.just(0.0)),
     st.tuples(st.just("freeze"), seconds, st.integers(0, 11), st.floats(0.2, 6.0)),
     st.tuples(st.just("cut"), seconds, st.sets(st.integers(0, 11), max_size=11), st.floats(0.3, 8)),
     st.tuples(st.just("lose"), seconds, st.floats(0.05, 0.9), st.floats(0.5, 8.0)),
@@ -70,6 +71,11 @@
             self.cluster.at(from_s, self.cluster.kill, name)
             self.cluster.at(from_s + duration_s, self.cluster.start, name)
             return
+        if kind == "add":
+            name = f"added-{from_s}"
+            self.cluster.at(from_s, self.cluster.add, name, self.names[value].partition("-")[0])
+            self.cluster.load(name, "a", 60.0, from_s, END_S)
+            return
         if kind == "freeze":
             self.cluster.at(from_s, self.cluster.freeze, self.names[value], duration_s)
             return
--- a/test/virtual_quotas.py
+++ b/test/virtual_quotas.py
@@ -14,7 +14,8 @@
 from figfold.core.quotas.limits import bucket_size
 from figfold.wire.codec import decode, encode
 
-TICK_S = 0.25
+TICK_S = 0.125
+TICKS_PER_EXCHANGE = 2
 WAIT_S = 0.15
 ASK_SPACING_S = 0.05
 TIMEOUT_S = 0.4
@@ -38,6 +39,7 @@
     limiter: QuotaLimiter
     ledger: QuotaLedger
     holders: HolderChoice = Factory(HolderChoice)
+    ticks: int = 0
     is_asking: bool = False
     frozen_until_s: float = 0.0
     asked_s: float = -1e9
@@ -169,7 +171,9 @@
         node.limiter.set_entry_count(self.known_count, True, self.now_s)
         node.ledger.tick(self.now_s)
         self._ask_regions(node)
-        self._ask(node)
+        node.ticks += 1
+        if node.ticks % TICKS_PER_EXCHANGE == 0:
+            self._ask(node)
         self.at(self.now_s + TICK_S, self._run_on, node, self._tick, node)
 
     def _ask(self, node, is_urgent=False):
@@ -190,6 +194,8 @@
             else:
                 node.limiter.apply_reply(holder, request, reply, asked_s, self.now_s)
             self._answer_waiting(node)
+            if reply is not None and node.limiter.is_reduced:
+                self._ask(node)
 
         self._call(node, holder, request, on_reply)
 
