Give shares headroom while little of a limit is in use

Cause: a share that equals the demand of a steady organisation leaves its bucket just short of a token at times, and the entry asked for each such request.

--- a/figfold/core/quotas/ledger.py
+++ b/figfold/core/quotas/ledger.py
@@ -36,6 +36,7 @@
 # Level to which the bucket of a borrower that runs short is filled, as a fraction of its size.
 TOP_UP_LEVEL = 0.5
 TOP_UP_FRACTION = 0.5  # Of the tokens that are not lent, for one borrower that runs short.
+ENTRY_HEADROOM = 1.2  # Factor of its demand that an entry is lent while little is in use.
 REGION_HEADROOM = 1.1  # Factor of its demand that a region borrows.
 LENDER_HEADROOM = 1.05  # Factor of its own demand that a region keeps before it lends.
 MIN_LOAN = 0.02  # Smallest share that is lent to other regions.
@@ -609,15 +610,11 @@
             self._earlier_lenders.append(self._lender_by_region.pop(region))
 
 
-def _want(pool, demand):
-    """Return the share that an entry should have for its demand.
-
-    There is no headroom, since a bucket that is often full loses tokens. What an entry lacks at
-    times comes from the tokens that are not lent.
-    """
+def _want(pool, demand, headroom=1.0):
+    """Return the share that an entry should have for its demand."""
     if demand <= 0.0:
         return 0.0
-    return min(1.0, max(demand / pool.organisation.rate_per_s, 1.0 / pool.size))
+    return min(1.0, max(headroom * demand / pool.organisation.rate_per_s, 1.0 / pool.size))
 
 
 def _share_spare(want_by_region, spare):
@@ -632,15 +629,20 @@
 def _divide(demand_by_entry, share, pool, holding):
     """Divide a share among entries by demand.
 
-    A small bucket is full or empty most of the time. While much of the limit is in use, an entry of
-    little demand gets none, and asks for each request.
+    A bucket that is often full loses tokens. While much of the limit is in use, parts have no
+    headroom, and what an entry lacks at times comes from the tokens that are not lent. A small
+    bucket is full or empty most of the time, so that an entry of little demand then gets none, and
+    asks for each request.
     """
     total = sum(demand_by_entry.values())
+    headroom = (
+        ENTRY_HEADROOM if total <= GIVE_FRACTION * share * pool.organisation.rate_per_s else 1.0
+    )
     rate = pool.organisation.rate_per_s
     left = lendable = (1.0 - UNLENT_FRACTION) * share
     part_by_entry, small = {}, {}
     for entry, demand in demand_by_entry.items():
-        want = _want(pool, demand)
+        want = _want(pool, demand, headroom)
         part = min(want, lendable * demand / total) if demand > 0.0 else 0.0
         is_small = part * pool.size < SMALL_TOKENS
         part_by_entry[entry] = 0.0 if is_small else part
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -259,6 +259,9 @@
 
     def test_a_steady_organisation_is_seldom_named(self):
         _, idle, _ = self.count_messages(3, 8, 1)
+        _, sent, _ = self.count_messages(3, 8, 10, 1.0)
+        self.assertLessEqual(sent - idle, 20.0)
+        # With half of a limit in use, entries of little demand ask for requests.
         _, sent, _ = self.count_messages(3, 8, 10, 2.0)
         self.assertLessEqual(sent - idle, 400.0)
 
