Test the limit of an organisation with real processes

Cause: the exchange had run in virtual time alone. Change: two entries, a limit of 10 a second, and callers that ask for more: the entries admit nine tenths of it or more, the servers run just these, and the rest gets 429 with Retry-After.

--- a/test/test_quota_exchange.py
+++ b/test/test_quota_exchange.py
@@ -1,5 +1,6 @@
 """Limits of organisations at the gateway: exchange between entries, waits and refusals."""
 
+import time
 import unittest
 from collections import Counter
 from types import SimpleNamespace
@@ -8,10 +9,11 @@
 import eventlet
 from attrs import evolve
 
+from bench.platform_deployment import PlatformDeployment, ServiceServers, make_configuration
 from figfold.core.codes import Code
 from figfold.core.organisations.organisation import Organisation, key_digest
 from figfold.core.quotas.limiter import ADMITTED, Admission
-from figfold.core.quotas.limits import BASE_DELAY_S
+from figfold.core.quotas.limits import BASE_DELAY_S, bucket_size
 from figfold.core.traffic.configuration import Configuration, Repeatability, Route, ServiceWeight
 from figfold.gateway.apps import _status
 from figfold.gateway.quota_exchange import ASK_WAIT_S, INTERVAL_S
@@ -23,6 +25,14 @@
 
 REGION_BY_PLACE = {"a1": "a", "b1": "b", "c1": "c"}
 LIMIT = {"post": {"apiKeys": ["key"], "ratePerS": 100, "burst": 50}}
+LIMITED = Organisation("post", rate_per_s=10.0)
+ROUTE = {
+    "kind": "safe",
+    "timeoutS": 1.0,
+    "service": "stockview",
+    "prefix": "/any/",
+    "sticky": False,
+}
 SETTLED_S = BASE_DELAY_S + 2.0
 
 
@@ -139,6 +149,36 @@
         run_fleet(test)
 
 
+class ProcessTest(unittest.TestCase):
+    """Real processes would not exchange shares, or refuse with another answer."""
+
+    def test_two_entries_admit_the_limit_together_and_refuse_the_rest_with_429(self):
+        configuration = make_configuration(1, {"any": ROUTE})
+        configuration["tenants"] = {"post": {"apiKeys": ["key"], "ratePerS": 10, "burst": 0}}
+        servers = (ServiceServers("stockview", "a1", 3),)
+        deployment = PlatformDeployment({"a1": "a"}, servers, configuration)
+        self.addCleanup(deployment.stop)
+        entries = [deployment.start_entry(f"entry-{number}", "a1") for number in range(2)]
+        eventlet.sleep(SETTLED_S)
+        statuses, told, number = Counter(), [], 0
+        started = time.monotonic()
+        while time.monotonic() - started < 3.0:
+            number += 1
+            status, headers, _ = entries[number % 2].request(
+                f"q{number}", path="/any/1", **{"X-Api-Key": "key"}
+            )
+            statuses[status] += 1
+            if status == 429:
+                told.append(float(headers["Retry-After"]))
+            eventlet.sleep(0.01)
+        self.assertEqual({200, 429}, set(statuses))
+        self.assertGreaterEqual(statuses[200], 0.9 * 30)
+        self.assertLessEqual(statuses[200], bucket_size(LIMITED) + 10 * 3.5)
+        self.assertGreater(min(told), 0.0)
+        runs = sum(deployment.runs(f"q{one}") for one in range(1, number + 1))
+        self.assertEqual(statuses[200], runs)
+
+
 class ServeTest(unittest.TestCase):
     """A request beyond the limit would reach a server or a queue, or get another status."""
 
