--- a/figfold/core/regions/balancer.py
+++ b/figfold/core/regions/balancer.py
@@ -4,6 +4,8 @@
 desired ones differ from the last target by more than a dead band, and by one unit per step.
 """
 
+from statistics import median
+
 from attrs import Factory, define, frozen
 
 from figfold.core.regions.shares import (
@@ -22,7 +24,10 @@
 # Steps may come this much earlier, because timers are not exact.
 STEP_TOLERANCE_S = 0.05
 # A target is replaced if the desired shares send this part of the requests elsewhere.
-DEAD_BAND = 0.05
+DEAD_BAND = 0.1
+# An entry takes over the median target of its region's others if the own region's shares differ by
+# more, and the median is within the dead band.
+AGREEMENT_BAND = 0.03
 # Sets of allowed regions that are kept for each service.
 MAX_REGION_SETS = 32
 
@@ -93,7 +98,6 @@
     shares_by_regions: dict[tuple, _Shares]
     stepped_s: float
     load_by_region: dict | None = None
-    desired_local: float = -1.0
 
 
 @define
@@ -128,10 +132,13 @@
             shares = self._add_regions(state, slots_by_region)
         return shares.ordered
 
-    def desired_local_share(self, service):
-        """Return the share that the own region should serve, negative if it is not known."""
+    def local_target(self, service):
+        """Return the share that the own region is to serve, negative if it is not known."""
         state = self._state_by_service.get(service)
-        return state.desired_local if state is not None else -1.0
+        if state is None or state.load_by_region is None:
+            return -1.0
+        target = state.shares_by_regions[state.regions].target
+        return target.get(self.own_region, 0) / SHARE_UNITS
 
     def regions_with_room(self, service):
         """Return the regions with room for rejected requests, or None if it is not known."""
@@ -163,8 +170,7 @@
         load_by_region : dict[str, RegionLoad] or None
             None if too little is known, so that the shares by slots are the target.
         stated_local : list[float]
-            Shares that other entries of the region want it to serve. Their mean makes the
-            region's entries agree.
+            Local targets of other entries of the region, so that they agree.
 
         Returns
         -------
@@ -179,12 +185,13 @@
         elif state.regions != regions:
             self._replace_regions(state, slots_by_region)
         state.load_by_region = load_by_region
-        local = self._agreed_local(state, load_by_region, regions, stated_local)
         change = None
         slots = dict(slots_by_region)
         for own_regions, shares in state.shares_by_regions.items():
             before = shares.target
-            self._set_target(shares, own_regions, slots, load_by_region, local)
+            self._set_target(shares, own_regions, slots, load_by_region)
+            if own_regions == regions and load_by_region is not None:
+                self._agree(shares, regions, load_by_region, stated_local)
             if own_regions == regions and shares.target != before:
                 parts = (_to_parts(before), _to_parts(shares.target))
                 change = TargetChange(service, *parts, load_by_region is None)
@@ -194,17 +201,20 @@
                 shares.step()
         return change
 
-    def _agreed_local(self, state, load_by_region, regions, stated_local):
-        """Return the own region's share as the region's entries agree on it, or None."""
-        state.desired_local = -1.0
-        if load_by_region is None:
-            return None
+    def _agree(self, shares, regions, load_by_region, stated_local):
+        """Take over the target of the region's other entries if they differ and it fits as well."""
+        known = [one for one in stated_local if 0.0 <= one <= 1.0]
+        if not known:
+            return
+        local = median(known)
+        if abs(local - shares.target.get(self.own_region, 0) / SHARE_UNITS) <= AGREEMENT_BAND:
+            return
         desired = desired_shares(self.own_region, load_by_region, regions)
-        state.desired_local = desired.get(self.own_region, 0.0)
-        known = [state.desired_local, *(one for one in stated_local if 0.0 <= one <= 1.0)]
-        return sum(known) / len(known)
+        units = quantise(_with_local(desired, self.own_region, local))
+        if distance(units, quantise(desired)) <= DEAD_BAND * SHARE_UNITS:
+            shares.target = units
 
-    def _set_target(self, shares, regions, slots, load_by_region, local):
+    def _set_target(self, shares, regions, slots, load_by_region):
         if load_by_region is None:
             pairs = tuple((one, slots[one]) for one in regions if one in slots)
             shares.target = self._units_by_slots(pairs) or shares.target
@@ -213,7 +223,7 @@
         desired = desired_shares(self.own_region, load_by_region, known)
         if not desired:
             return
-        units = quantise(_with_local(desired, self.own_region, local))
+        units = quantise(desired)
         if distance(units, shares.target) > DEAD_BAND * SHARE_UNITS:
             shares.target = units
 
@@ -249,9 +259,9 @@
 
 
 def _with_local(desired, own_region, local):
-    """Return the desired shares with the agreed one of the own region."""
+    """Return the desired shares with another one of the own region."""
     own = desired.get(own_region)
-    if own is None or local is None or own >= 1.0 - 1e-9 or local >= 1.0 - 1e-9:
+    if own is None or own >= 1.0 - 1e-9:
         # No other region's part is known, by which the rest could be divided.
         return desired
     factor = (1.0 - local) / (1.0 - own)
--- a/figfold/core/regions/shares.py
+++ b/figfold/core/regions/shares.py
@@ -2,9 +2,15 @@
 
 from attrs import frozen
 
-# Part of a region's slots that its own requests may fill before it sends a surplus elsewhere.
-# The rest takes up stragglers and the difference between servers.
-TARGET_UTILISATION = 0.75
+# Part of a region's slots that its own requests may fill before it sends a surplus elsewhere. Few
+# servers with a queue of their own each make requests wait long before all slots are busy.
+TARGET_UTILISATION = 0.4
+# A smaller part of a region's requests than this stays in the region, because requests that come
+# and go with a wave would run cold more often than they would wait.
+MIN_SURPLUS = 0.2
+# Multiple of the common utilisation below which a region's slots count as free for the surplus of
+# others. With a smaller one, waves of large regions turn the surplus round.
+FULL_FACTOR = 2.0
 # From this measured utilisation on, a region counts as full, whatever its demand accounts for.
 SATURATED_UTILISATION = 0.95
 # A region takes requests that another one has rejected below this utilisation.
@@ -57,7 +63,8 @@
     Returns
     -------
     dict[str, RegionLoad] or None
-        None if a region is silent, or no run time is known.
+        None if a region is silent, or no run time is known. All regions have the same run time:
+        differences between them come from queues and cold runs, which pass.
     """
     stated = {
         region: [one for one in statements_by_region.get(region, ()) if one.requests_per_s >= 0.0]
@@ -65,8 +72,8 @@
     }
     if not all(stated.values()):
         return None
-    mean_run_s = _mean_run_s([one for ones in stated.values() for one in ones])
-    if mean_run_s is None:
+    run_s = _mean_run_s([one for ones in stated.values() for one in ones])
+    if run_s is None:
         return None
     load_by_region = {}
     for region, statements in stated.items():
@@ -75,7 +82,7 @@
         load_by_region[region] = RegionLoad(
             slots_by_region.get(region, 0),
             mean_per_s * max(len(statements), entries_by_region.get(region, 0)),
-            _mean_run_s(statements) or mean_run_s,
+            run_s,
             sum(known) / len(known) if known else -1.0,
         )
     return load_by_region
@@ -93,8 +100,8 @@
     """Return the share of a region's requests that each region should serve.
 
     The own region serves them up to `TARGET_UTILISATION` of its slots, or up to the mean
-    utilisation of all regions where that is higher. Regions with free capacity after their own
-    demand serve the rest, in proportion to it.
+    utilisation of all regions where that is higher. The other regions serve the rest in proportion
+    to the slots that their own demand leaves free.
 
     Parameters
     ----------
@@ -116,22 +123,27 @@
     if own_region in allowed:
         own = load_by_region[own_region]
         own_share = min(1.0, level * own.slots / own.needed_slots) if own.needed_slots else 1.0
-    spare_by_region = {
-        one: max(0.0, level * load_by_region[one].slots - load_by_region[one].needed_slots)
-        for one in sorted(allowed - {own_region})
-    }
-    total_spare = sum(spare_by_region.values())
-    if not total_spare and own_region in allowed:
+        if own_share > 1.0 - MIN_SURPLUS:
+            return {own_region: 1.0}
+    others = sorted(allowed - {own_region})
+    room_by_region = {one: _room(load_by_region[one], level) for one in others}
+    total_room = sum(room_by_region.values())
+    if not total_room and own_region in allowed:
         return {own_region: 1.0}
-    if not total_spare:
-        spare_by_region = {one: load_by_region[one].slots for one in sorted(allowed)}
-        total_spare = sum(spare_by_region.values())
-    shares = {
-        one: (1.0 - own_share) * spare / total_spare for one, spare in spare_by_region.items()
-    }
+    if not total_room:
+        room_by_region = {one: load_by_region[one].slots for one in others}
+        total_room = sum(room_by_region.values())
+    shares = {one: (1.0 - own_share) * room / total_room for one, room in room_by_region.items()}
     return shares | ({own_region: own_share} if own_region in allowed else {})
 
 
+def _room(load, level):
+    """Return the slots by which a region takes part in the surplus of others."""
+    if load.utilisation >= SATURATED_UTILISATION:
+        return 0.0
+    return max(0.0, FULL_FACTOR * level * load.slots - load.needed_slots)
+
+
 def utilisation_level(load_by_region):
     """Return the utilisation up to which each region serves its own requests."""
     slots = sum(one.slots for one in load_by_region.values())
--- a/figfold/gateway/region_shares.py
+++ b/figfold/gateway/region_shares.py
@@ -77,7 +77,7 @@
         """Return what this entry states to the others of a service."""
         if self.meter is None:
             return DemandStatement()
-        return self.meter.statement(service, now, self.balancer.desired_local_share(service))
+        return self.meter.statement(service, now, self.balancer.local_target(service))
 
     # Shares.
 
