--- a/figfold/entry/answer_memory.py
+++ b/figfold/entry/answer_memory.py
@@ -54,6 +54,10 @@
             raise AnswerMemoryError(f"no room for {count} more than {self.size} bytes")
         self._add(count)
 
+    def hold(self, count):
+        """Take up more memory, whether or not there is room, for a small part on its way."""
+        self._add(count)
+
     def shrink(self, count):
         """Release a part of the memory."""
         self._add(-count)
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -27,6 +27,8 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_LIMIT_PER_ADDRESS = 16
 READ_SIZE_BYTES = 64 * 1024
+# Size of the parts of a streamed answer while there is no memory for larger ones.
+SMALL_READ_BYTES = 4 * 1024
 # A reused connection must not reach the server's idle time-out while a request is on its way.
 # This is an upper bound of the round-trip time.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -225,7 +227,7 @@
             (key, value) for key, value in response.headers.items() if key.lower() not in HOP_BY_HOP
         )
         if length is not None and method != "HEAD" and len(body) < length:
-            rest = self._read_rest(connection, address, response)
+            rest = self._read_rest(connection, address, response, held)
             next(rest)
             return ServerAnswer(
                 response.status,
@@ -259,32 +261,51 @@
         size = 0
         length = _content_length(response)
         while length is None or size < min(length, self.buffer_bytes):
-            if length is not None and not held.may_grow(COPIES * READ_SIZE_BYTES):
-                break
-            part = response.read(READ_SIZE_BYTES, decode_content=False)
+            count = READ_SIZE_BYTES if length is None else min(READ_SIZE_BYTES, length - size)
+            # Others may take up the memory during the read, so that it is reserved before.
+            reserved = 0 if length is None else COPIES * count
+            if reserved:
+                if not held.may_grow(reserved):
+                    break
+                held.grow(reserved)
+            part = response.read(count, decode_content=False)
             if not part:
                 break
             size += len(part)
             if size > UNSIZED_ANSWER_LIMIT_BYTES:
                 raise ValueError("answer without a length is too large")
-            held.grow(COPIES * len(part))
+            if length is None:
+                held.grow(COPIES * len(part))
+            else:
+                held.shrink(reserved - COPIES * len(part))
             parts.append(part)
         body = b"".join(parts)
         del parts
         held.shrink(held.size - size)
         return body
 
-    def _read_rest(self, connection, address, response):
+    def _read_rest(self, connection, address, response, held):
         """Yield the remaining parts after an empty one.
 
         The empty part starts the generator, because closing one that never ran skips the clean-up.
+        A part is read once its caller has taken the one before, and is held until then.
         """
         try:
             yield b""
-            while part := response.read(READ_SIZE_BYTES, decode_content=False):
+            while True:
+                has_room = held.may_grow(READ_SIZE_BYTES)
+                size = READ_SIZE_BYTES if has_room else SMALL_READ_BYTES
+                held.hold(size)
+                part = response.read(size, decode_content=False)
+                held.shrink(size - len(part))
+                if not part:
+                    break
                 yield part
+                held.shrink(len(part))
+                del part
         except BaseException:
             connection.close()
+            held.release()
             raise
         self._finish_exchange(connection, address, response)
 
--- a/figfold/gateway/protocol.py
+++ b/figfold/gateway/protocol.py
@@ -5,6 +5,7 @@
 
 from figfold.entry.http_protocol import make_protocol
 from figfold.gateway.caller_connection import CallerConnection, read_ahead_request
+from figfold.gateway.caller_socket import CallerSocket
 
 # Keys of the WSGI environment.
 RAW_TARGET = "figfold.target"
@@ -27,7 +28,11 @@
         ``(host, path) -> bool``, whether such a request without a body may run while others of its
         connection do.
     """
-    functions = {"limits": staticmethod(limits), "route_may_overlap": staticmethod(may_overlap)}
+    functions = {
+        "limits": staticmethod(limits),
+        "route_may_overlap": staticmethod(may_overlap),
+        "on_given_up": staticmethod(lambda: metrics.count("answers_given_up")),
+    }
     return type("GatewayProtocol", (_OverlappingRequests, make_protocol(metrics)), functions)
 
 
@@ -52,6 +57,9 @@
 
     def setup(self):
         super().setup()
+        self.connection.__class__ = CallerSocket
+        self.connection.memory = self.server.app.answer_memory
+        self.connection.on_given_up = self.on_given_up
         self.caller = CallerConnection.from_socket(
             self.connection, lambda: read_ahead_request(self)
         )
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -487,6 +487,15 @@
         self.entry.read()
         self.assertEqual(len(self.entry.usable()), 4)
 
+    def test_row_that_the_store_drops_is_held_by_an_entry_that_started_after_the_restore(self):
+        self.read_and_restore()
+        starting = Entry(self, "e2")
+        starting.read()
+        for number in range(4):
+            self.tables.remove("servers", f"s{number}")
+        starting.read()
+        self.assertEqual(len(starting.usable()), 4)
+
     # Such a row counts as one of the copy, since nothing tells when it was written.
     def test_row_written_before_the_first_look_waits_for_the_next_heartbeat(self):
         for sequence in range(2, 5):
@@ -571,6 +580,16 @@
         self.assertNotIn("s0", other.usable())
         self.assertEqual(other.store.eras.era, 1)
 
+    # It had no history of its own since the start of the era, and asked the store for all of it.
+    def test_peer_that_waits_states_no_version_to_go_on_from(self):
+        other = Entry(self, "e2")
+        other.read()
+        self.read_and_restore()
+        self.entry.read()
+        other.learn_from(self.entry)
+        self.assertTrue(is_era_start(other.fleet.evacuations_version))
+        self.assertFalse(is_era_start(other.reader.operator_version))
+
     def test_entry_asks_a_peer_for_replaced_rows_after_a_restore(self):
         self.entry.cluster.membership = SimpleNamespace(live_entries=lambda _now_s: {})
         self.entry.sync.source_selector.fallback = lambda _live, _now_s: "e2"
