--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -22,6 +22,13 @@
         The region of each data centre.
     revocation_bound_s : float
         Longest time for which a withdrawn API key may be accepted; 0 sets no bound.
+    admission : bool
+        Whether requests are held or refused while a service is short of room.
+    region_balancing : bool
+        Whether the shares of requests between regions follow demand and free capacity.
+    hedge_ratio : float
+        Extra attempts per request of a service, over all entries; 0 leaves them to the budget of
+        retries alone.
     """
 
     name: str
@@ -42,9 +49,12 @@
     retry_window_s: float
     retry_slack: float
     revocation_bound_s: float
+    hedge_ratio: float
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
+    admission: bool = False
+    region_balancing: bool = False
 
     @property
     def region(self):
@@ -73,9 +83,12 @@
             retry_window_s=section.seconds("retry_window_s"),
             retry_slack=section.number("retry_slack"),
             revocation_bound_s=section.number("revocation_bound_s"),
+            hedge_ratio=section.number("hedge_ratio", 0.0, 1.0),
             region_by_place=region_by_place,
             peers=peers,
             log=log,
+            admission=section.choice("admission", ("on", "off")) == "on",
+            region_balancing=section.choice("region_balancing", ("on", "off")) == "on",
         )
 
 
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -15,6 +15,7 @@
 from figfold.core.names import is_name
 from figfold.core.organisations.access import are_keys_confirmed
 from figfold.core.quarantine import Quarantine
+from figfold.core.regions.balancer import STEP_S
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector
@@ -39,6 +40,8 @@
 from figfold.gateway.listener import StoppableListener
 from figfold.gateway.loop_watch import LoopWatch, WaitingTime
 from figfold.gateway.protocol import make_gateway_protocol
+from figfold.gateway.quota_exchange import QuotaExchange
+from figfold.gateway.region_shares import RegionShares
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.sender import CONNECT_TIMEOUT_S, Sender
 from figfold.gateway.stopping import POLL_S, finish_requests
@@ -47,7 +50,7 @@
 from figfold.platform.headers import names_its_request, server_headers
 from figfold.platform.rows import RowStore
 from figfold.wire.client import PeerClient
-from figfold.wire.messages import KnowledgeRequest, MembersRequest, ProbeRequest
+from figfold.wire.messages import KnowledgeRequest, MembersRequest, ProbeRequest, QuotaRequest
 from figfold.wire.server import PeerServer, PeerServerSettings
 
 BACKLOG = 1024
@@ -118,6 +121,7 @@
     peer_server: PeerServer = None
     connections: Connections = None
     store_sync: StoreSync = None
+    quota_exchange: QuotaExchange = None
     confirmation: ConfirmationTracker = None
     quarantine: Quarantine = None
     stage: str = "serving"
@@ -223,10 +227,19 @@
             self.log,
             own_report.incarnation,
         )
+        self.quota_exchange = QuotaExchange.from_config(
+            settings,
+            self.cluster,
+            self.peers.client,
+            self.metrics,
+            self.log,
+            own_report.incarnation,
+        )
         self.peers.handler_by_type = {
             KnowledgeRequest: self.store_sync.handle_request,
             ProbeRequest: self.prober.handle_probe,
             MembersRequest: self.prober.handle_members_request,
+            QuotaRequest: self.quota_exchange.handle_request,
         }
 
     def _make_request_runner(self):
@@ -264,6 +277,10 @@
             log=self.log,
             settings=settings,
             on_suspected_crash=self.peers.announce_crash,
+            region_shares=RegionShares.from_config(
+                settings, self.cluster, selector.placement, self.log
+            ),
+            acquire_quota=self.quota_exchange.acquire,
         )
         self.app = RequestApp(
             serve=self.request_runner.serve,
@@ -296,6 +313,7 @@
         eventlet.spawn_n(LoopWatch(self.metrics, self.log, WaitingTime()).run)
         eventlet.spawn_n(self._register)
         self._start_loop("peers", settings.peers.interval_s, self.prober.start_round)
+        self._start_loop("regions", STEP_S, self.request_runner.region_shares.update)
         self._start_loop(
             "idle", IDLE_SWEEP_INTERVAL_S, lambda: self.connections.close_idle(now_s())
         )
@@ -428,6 +446,7 @@
     def _on_configuration(self, version):
         self.confirmation.set_version_in_force(version)
         self.request_runner.retain_routes(self.cluster.configuration.route_by_name)
+        self.quota_exchange.apply_configuration(self.cluster.configuration)
         membership = self.cluster.membership
         membership.own = evolve(membership.own, plan_version=version)
 
@@ -456,7 +475,7 @@
         }
 
     def _loads(self, now):
-        """Return the free slots of this region by service, for overflow from other regions."""
+        """Return the free slots of this region by service, and what is measured of its demand."""
         configuration = self.cluster.configuration
         if now - self._loads_at_s < LOADS_INTERVAL_S:
             return self._last_loads
@@ -465,7 +484,13 @@
         selector = self.request_runner.selector
         self._loads_at_s = now
         self._last_loads = tuple(
-            ServiceLoad(name, 0, 0, int(selector.free_slots(name, self.settings.region, now)))
+            ServiceLoad(
+                name,
+                0,
+                0,
+                int(selector.free_slots(name, self.settings.region, now)),
+                self.request_runner.region_shares.statement(name, now),
+            )
             for name in services
         )
         return self._last_loads
@@ -498,11 +523,14 @@
                 ),
                 ("keys_confirmed", {}, int(self._serves_keys())),
                 ("store_era", {}, self.store_reader.eras.era),
+                ("quota_borrowers", {}, self.quota_exchange.ledger.borrower_count),
                 ("live_entries", {}, len(self.cluster.live_entry_places())),
                 ("answer_bytes", {}, self.connections.memory.held_bytes),
                 ("request_body_bytes", {}, self.app.body_memory.held_bytes),
                 ("connections_opened", {}, self.connections.opened),
                 ("log_lines_dropped", {}, self.event_log.total_dropped),
+                *self.request_runner.admission.gauges(),
+                *self.request_runner.region_shares.gauges(),
             )
         )
 
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from figfold.core.codes import Code
+from figfold.core.hedging.policy import MIN_DELAY_S, HedgeRefusal
 from figfold.core.organisations.access import Access
 from figfold.core.traffic.retry_decision import (
     AttemptOutcome,
@@ -24,7 +25,8 @@
 )
 from figfold.gateway.sender import AttemptResult
 
-# A hedge is sent after this multiple of the expected duration, but no earlier than the minimum.
+# Without a hedge ratio in the settings, a hedge is sent after this multiple of the expected
+# duration, but no earlier than the minimum.
 HEDGE_FACTOR = 2.5
 MIN_HEDGE_DELAY_S = 0.3
 # Shortest time after which a caller should retry a refused request.
@@ -48,7 +50,7 @@
     runner : RequestRunner
         State that all requests share.
     events : LightQueue
-        `AttemptEnded`, `CALLER_DISCONNECTED` and `DEADLINE_CHANGED`.
+        `AttemptEnded`, `ADMITTED`, `CALLER_DISCONNECTED` and `DEADLINE_CHANGED`.
     tried : set[str]
         Servers that the request was sent to.
     tried_addresses : set[str]
@@ -61,10 +63,14 @@
         Error answer of a server, which is returned if no attempt succeeds.
     hedge_decided : bool
         Whether a hedge was sent or ruled out.
+    hedge_not_before_s : float
+        Earliest time of a hedge after a refusal that may pass.
     organisation : Organisation or None
         Whose API key the request carries; None for an anonymous caller.
     home_regions : frozenset[str]
         The only regions in which the request may run; empty if all are allowed.
+    admission : RequestAdmission or None
+        Admission control of the service; None if it is off.
     """
 
     runner: object
@@ -74,6 +80,7 @@
     configuration: object
     organisation: object = None
     home_regions: frozenset = frozenset()
+    admission: object = None
     events: LightQueue = Factory(LightQueue)
     attempt_by_id: dict = Factory(dict)
     progress: RequestProgress = Factory(RequestProgress)
@@ -82,6 +89,7 @@
     last_code: Code = Code.OK
     error_answer: object = None
     hedge_decided: bool = False
+    hedge_not_before_s: float = 0.0
     retry_after_s: float = RETRY_AFTER_S
 
     @property
@@ -104,6 +112,11 @@
 
     def execute(self):
         """Run the request; return Ok(ServerAnswer) or Err(RequestFailure)."""
+        failure = self.admission.wait(self) if self.admission is not None else None
+        if failure is not None:
+            return Err(failure)
+        # Requests that are refused while they wait for admission earn no retries.
+        self.runner.retry_budget(self.service).count_request(now_s())
         if not self._start_attempt(is_hedge=False):
             return self._refuse_not_sent()
         while True:
@@ -124,25 +137,48 @@
             if final is not None:
                 return final
 
+    def reason_not_to_start(self):
+        """Return why the request may no longer start after a wait, as a RequestFailure, or None."""
+        runner = self.runner
+        if runner.quarantine.is_quarantined(self.request.fingerprint, now_s()):
+            return RequestFailure(Code.QUARANTINED, True, "quarantined")
+        if not self.route.is_repeatable and (
+            self.request.deadline_s(self.route) > runner.answers_until_s
+        ):
+            # It might still run when the entry ends, and its caller could not send it again.
+            return RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0)
+        return None
+
     def cancel_all(self):
         """Cancel all attempts in progress and close their connections."""
         for attempt_id, attempt in list(self.attempt_by_id.items()):
             attempt.thread.kill()
             self._load_of(attempt).end(attempt_id)
+            self._observe_duration(attempt, now_s() - attempt.started_s, is_answered=False)
         self.attempt_by_id.clear()
+        self._close_unused_answers()
+
+    def _close_unused_answers(self):
+        """Close the answers that came after the final one, whose rest is still to be read."""
+        while not self.events.empty():
+            event = self.events.get_nowait()
+            answer = event.result.answer if isinstance(event, AttemptEnded) else None
+            if answer is not None and answer.rest is not None:
+                answer.rest.close()
 
     # Attempts.
 
-    def _start_attempt(self, is_hedge):
+    def _start_attempt(self, is_hedge, choice=None):
         if not self._has_access():
             return False
-        choice = self._choose()
+        choice = choice or self._choose()
         now = now_s()
-        if choice is None or choice.expected_s > self.deadline_s - now:
-            choice = self._choose_overflow(now) or choice
+        choice = self._choose_elsewhere(choice, is_hedge, now) or choice
         if choice is None:
             self._explain_missing_choice(now)
             return False
+        if self.admission is not None:
+            self.admission.observe_start(choice, self.route, now)
         if choice.expected_s > self.deadline_s - now and not self.progress.started_attempts:
             self._log(
                 "too-late",
@@ -151,6 +187,7 @@
                 left_ms=round((self.deadline_s - now) * 1000),
             )
             self.last_code = Code.DEADLINE_TOO_SHORT
+            self.runner.hedging.record_rejection(self.service, now)
             # By then the queue has shrunk by that time, and a retry has the route's whole time.
             self.retry_after_s = max(RETRY_AFTER_S, choice.expected_s - (self.deadline_s - now))
             return False
@@ -214,13 +251,47 @@
         self._log("key-withdrawn", organisation=self.organisation.name, code=int(self.last_code))
         return False
 
-    def _choose_overflow(self, now):
-        """Return a choice in another region that meets the deadline, if the limiter allows one."""
+    def _choose_elsewhere(self, choice, is_hedge, now):
+        """Return a choice outside the object's region that is preferred to the one there, if any.
+
+        Parameters
+        ----------
+        choice : ServerChoice or None
+            The choice in the object's region.
+        """
+        left_s = self.deadline_s - now
+        is_late = choice is None or choice.expected_s > left_s
+        if is_hedge or not self.runner.settings.region_balancing:
+            return self._choose_overflow(now, left_s) if is_late else None
+        # A server that has rejected the request was full, and those beside it often are as well.
+        is_queued_again = bool(self.tried) and not is_late and choice.will_queue
+        if is_late or is_queued_again:
+            other = self._choose_overflow(now, left_s)
+            return other or self._choose_last_resort(now, left_s)
+        target_left_s = self.request.arrived_s + self.route.target_latency_s - now
+        if choice.will_queue and choice.expected_s > target_left_s:
+            return self._choose_overflow(now, target_left_s)
+        return None
+
+    def _choose_overflow(self, now, left_s):
+        """Return a choice in another region that is in time, if the limiter allows one."""
         choice = self._choose(is_overflow=True)
-        if choice is None or choice.expected_s > self.deadline_s - now:
+        if choice is None or choice.expected_s > left_s:
             return None
         return choice if self.runner.overflow_limiter.try_acquire(now) else None
 
+    def _choose_last_resort(self, now, left_s):
+        """Return a choice in any region for a request that would be refused otherwise."""
+        limiter = self.runner.overflow_limiter
+        if not limiter.has_room(now, is_last_resort=True):
+            return None
+        choice = self._choose(is_overflow=True, is_last_resort=True)
+        if choice is None or choice.expected_s > left_s:
+            return None
+        limiter.try_acquire(now, is_last_resort=True)
+        self.runner.metrics.count("last_resorts", service=self.service)
+        return choice
+
     def _explain_missing_choice(self, now):
         """Set what a refusal says if it is the servers' limits that leave no choice."""
         wait_s = self.runner.selector.limit_wait_s(self._selection_request(), now)
@@ -230,8 +301,12 @@
             if self.last_code is Code.OK:
                 self.last_code = Code.SERVERS_LIMITED
 
-    def _selection_request(self, is_overflow=False):
-        regions = self.runner.cluster.regions_with_free_slots(self.service) if is_overflow else ()
+    def _selection_request(self, is_overflow=False, is_last_resort=False, needs_free_slot=False):
+        regions = ()
+        if is_last_resort:
+            regions = self.runner.selector.placement.regions()
+        elif is_overflow:
+            regions = self.runner.cluster.regions_with_free_slots(self.service)
         return SelectionRequest(
             self.service,
             self.key,
@@ -239,14 +314,16 @@
             self.home_regions,
             is_overflow,
             frozenset(regions),
+            is_last_resort,
+            needs_free_slot,
         )
 
-    def _choose(self, is_overflow=False):
+    def _choose(self, is_overflow=False, is_last_resort=False, needs_free_slot=False):
         runner = self.runner
         transfer_cost = runner.cluster.transfer_cost_s if self.route.is_bulk else None
         now = now_s()
         return runner.selector.choose(
-            self._selection_request(is_overflow),
+            self._selection_request(is_overflow, is_last_resort, needs_free_slot),
             runner.route_durations(self.route, self.service),
             now,
             lambda server: runner.cluster.may_use_cold_server(server, now),
@@ -263,6 +340,9 @@
             or self.progress.started_attempts >= self.route.max_attempts
         ):
             return
+        if self.runner.settings.hedge_ratio > 0.0:
+            self._try_limited_hedge()
+            return
         entries = self.runner.cluster.entry_count()
         choice = self._choose()
         if choice is None or choice.expected_s > self.deadline_s - now_s():
@@ -273,12 +353,64 @@
             self.runner.metrics.count("retries", reason="hedge")
             self._start_attempt(is_hedge=True)
 
+    def _try_limited_hedge(self):
+        """Send an extra attempt if the policy, the servers and both budgets allow one."""
+        runner, now = self.runner, now_s()
+        room = runner.selector.known_room(self._selection_request(), now)
+        refusal = runner.hedging.find_refusal(self.service, runner.settings.hedge_ratio, room, now)
+        choice = None
+        if refusal is None:
+            choice = self._choose(needs_free_slot=True)
+            refusal = self._find_hedge_refusal(choice, now)
+        if refusal is not None:
+            runner.metrics.count("refused_hedges", reason=refusal.value)
+            self.hedge_decided = refusal.is_final
+            started_s = next(iter(self.attempt_by_id.values())).started_s
+            self.hedge_not_before_s = now + max(MIN_DELAY_S, now - started_s)
+            return
+        runner.hedging.record_hedge(self.service, now)
+        runner.metrics.count("retries", reason="hedge")
+        runner.metrics.count("hedges", result="sent")
+        self._start_attempt(is_hedge=True, choice=choice)
+
+    def _find_hedge_refusal(self, choice, now):
+        """Return why an extra attempt must not be sent to the chosen server, or None."""
+        if choice is None:
+            return HedgeRefusal.NO_SERVER
+        if choice.expected_s > self.deadline_s - now:
+            return HedgeRefusal.TIME
+        runner = self.runner
+        if runner.quarantine.is_suspect_or_quarantined(self.request.fingerprint, now):
+            return HedgeRefusal.SUSPECT
+        if not self._has_access():
+            return HedgeRefusal.KEY
+        if not runner.retry_budget(self.service).try_acquire(runner.cluster.entry_count(), now):
+            return HedgeRefusal.RETRY_BUDGET
+        return None
+
+    def _hedge_delay_s(self, expected_s):
+        hedge_ratio = self.runner.settings.hedge_ratio
+        if hedge_ratio > 0.0:
+            return self.runner.hedging.delay_s(
+                self.route.name, self.service, expected_s, hedge_ratio, now_s()
+            )
+        return max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * expected_s)
+
+    def _observe_duration(self, attempt, duration_s, is_answered):
+        """Add the duration of an attempt to those that the delay of hedges goes by."""
+        if self.runner.settings.hedge_ratio > 0.0 and self.route.is_repeatable:
+            hedging = self.runner.hedging
+            observe = hedging.observe_answer if is_answered else hedging.observe_unfinished
+            expected_s = attempt.choice.expected_s
+            observe(self.route.name, self.service, duration_s, expected_s, now_s())
+
     def _next_timer_s(self):
         if self.hedge_decided or len(self.attempt_by_id) != 1 or not self.route.is_repeatable:
             return self.deadline_s
         attempt = next(iter(self.attempt_by_id.values()))
-        wait_s = max(MIN_HEDGE_DELAY_S, HEDGE_FACTOR * attempt.choice.expected_s)
-        return min(self.deadline_s, attempt.started_s + wait_s)
+        wait_s = self._hedge_delay_s(attempt.choice.expected_s)
+        hedge_s = max(attempt.started_s + wait_s, self.hedge_not_before_s)
+        return min(self.deadline_s, hedge_s)
 
     # Handling of ended attempts.
 
@@ -288,6 +420,7 @@
             return None
         result = event.result
         self._update_estimates(event.attempt_id, attempt, result)
+        self._observe_for_admission(attempt, result)
         may_have_run = result.outcome in (AttemptOutcome.FAILED, AttemptOutcome.ERROR_ANSWERED)
         reached = result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT)
         self.progress = evolve(
@@ -320,6 +453,8 @@
             **_stated(result.head),
         )
         if step is NextStep.GIVE_ANSWER and result.outcome is AttemptOutcome.ANSWERED:
+            if attempt.is_hedge and self.runner.settings.hedge_ratio > 0.0:
+                self.runner.metrics.count("hedges", result="won")
             return Ok(result.answer)
         if self.attempt_by_id:
             return None  # Another attempt is in progress and may still answer.
@@ -351,14 +486,17 @@
         load.end(attempt_id)
         if result.load is not None:
             load.observe_report(result.load, now)
+            runner.region_shares.record_load(self.service, server_id, result.load, now)
         fingerprint = self.request.fingerprint
         if result.outcome is AttemptOutcome.ANSWERED:
             expected_s = max(0.001, attempt.choice.expected_s)
             load.observe_success(result.duration_s, expected_s, now)
             self._add_run_time(attempt.choice, result)
+            self._observe_duration(attempt, result.duration_s, is_answered=True)
             runner.quarantine.record_success(fingerprint, now, server_id)
         elif result.code is Code.SERVER_SHED:
             load.observe_shed(now)
+            runner.hedging.record_rejection(self.service, now)
         elif result.code is Code.CONNECT_FAILED:
             load.observe_failure(now, is_unreachable=True)
             runner.quarantine.record_connect_refused(server_id, now)
@@ -372,6 +510,11 @@
         if result.code is not Code.OK:
             runner.metrics.count_code(result.code, service=self.service)
 
+    def _observe_for_admission(self, attempt, result):
+        if self.admission is not None:
+            warm_s = self.runner.route_durations(self.route, self.service).warm_s()
+            self.admission.observe_end(attempt.choice, self.route, warm_s, result, now_s())
+
     def _record_reset(self, server_id, is_fresh, now):
         runner = self.runner
         fingerprint = self.request.fingerprint
@@ -388,7 +531,9 @@
             return
         slowdown = result.load.slowdown if result.load is not None else 1.0
         round_trip_s = self.runner.cluster.server_round_trip_s(choice.server_id)
-        run_s = max(0.001, result.duration_s - round_trip_s) / max(0.1, slowdown)
+        slot_s = max(0.001, result.duration_s - round_trip_s)
+        self.runner.region_shares.record_run(self.service, slot_s)
+        run_s = slot_s / max(0.1, slowdown)
         self.runner.route_durations(self.route, self.service).add(run_s, choice.is_warm)
 
     # Final answers.
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -8,12 +8,17 @@
 from result import Err
 
 from figfold.core.codes import Code
+from figfold.core.hedging.policy import HedgePolicy
 from figfold.core.organisations.access import Access, are_keys_confirmed, decide_access
 from figfold.core.organisations.organisation import common_homes
+from figfold.core.quotas.limiter import ADMITTED
+from figfold.core.quotas.limits import is_limited
 from figfold.core.traffic.durations import RouteDurations
 from figfold.core.traffic.limiters import OverflowLimiter, RetryBudget
 from figfold.core.traffic.reset_watch import ResetWatch
 from figfold.entry.clock import now_s
+from figfold.gateway.admission import AdmissionControl
+from figfold.gateway.region_shares import RegionShares
 from figfold.gateway.request_run import RETRY_AFTER_S, RequestRun
 from figfold.gateway.requests import CALLER_DISCONNECTED, DEADLINE_CHANGED, RequestFailure
 from figfold.platform.headers import with_organisation
@@ -41,6 +46,8 @@
         Configuration, fleet and membership.
     on_suspected_crash : callable
         Called when a request may have crashed its server.
+    acquire_quota : callable
+        Returns the `Admission` of a request of an organisation with a limit.
     answers_until_s : float
         When all requests have their final answer, because the entry is about to end.
     """
@@ -54,8 +61,14 @@
     log: object
     settings: object
     on_suspected_crash: object
+    region_shares: RegionShares
+    admission: AdmissionControl = Factory(
+        lambda self: AdmissionControl(self.metrics, self.log), takes_self=True
+    )
     overflow_limiter: OverflowLimiter = Factory(OverflowLimiter)
+    acquire_quota: object = lambda _organisation: ADMITTED
     reset_watch: ResetWatch = Factory(ResetWatch)
+    hedging: HedgePolicy = Factory(HedgePolicy)
     answers_until_s: float = inf
     _runs: set = Factory(set)
     _durations_by_route: dict = Factory(dict)
@@ -79,30 +92,28 @@
         if route is None:
             return Err(RequestFailure(Code.NO_ROUTE, True, "no-route"))
         decision = self.decide_access(configuration, route, request.key_digest)
-        if decision.access in FAILURE_BY_ACCESS:
-            return Err(FAILURE_BY_ACCESS[decision.access])
         organisation = decision.organisation
         homes = common_homes(
             route.home_regions, organisation.home_regions if organisation else frozenset()
         )
-        if homes is None:
-            return Err(RequestFailure(Code.HOMES_EXCLUDE, True, "homes-exclude"))
+        refusal = FAILURE_BY_ACCESS.get(decision.access) or self._find_refusal(
+            request, route, organisation, homes
+        )
+        if refusal is not None:
+            return Err(refusal)
         if configuration.has_organisations:
             name = organisation.name if organisation else None
             request = evolve(request, headers=with_organisation(request.headers, name))
-        if self.quarantine.is_quarantined(request.fingerprint, now_s()):
-            return Err(
-                RequestFailure(Code.QUARANTINED, True, "quarantined", QUARANTINE_RETRY_AFTER_S)
-            )
-        if not route.is_repeatable and request.deadline_s(route) > self.answers_until_s:
-            # It might still run when the entry ends, and its caller could not send it again.
-            return Err(RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0))
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
-        self.retry_budget(service).count_request(now_s())
+        if self.settings.hedge_ratio > 0.0:
+            self.hedging.count_request(service, now_s())
         self.overflow_limiter.count_request(now_s())
+        self.region_shares.record_request(service)
         run = RequestRun(
             self, request, route, service, configuration, organisation, home_regions=homes
         )
+        if self.settings.admission:
+            run.admission = self.admission.for_request(service)
         stop_watching = watch_caller(lambda: run.events.put(CALLER_DISCONNECTED))
         self._runs.add(run)
         try:
@@ -111,6 +122,24 @@
             self._runs.discard(run)
             stop_watching()
             run.cancel_all()
+            if run.admission is not None:
+                run.admission.end()
+
+    def _find_refusal(self, request, route, organisation, homes):
+        """Return why a request with access is not run, as a RequestFailure, or None."""
+        if homes is None:
+            return RequestFailure(Code.HOMES_EXCLUDE, True, "homes-exclude")
+        if self.quarantine.is_quarantined(request.fingerprint, now_s()):
+            return RequestFailure(Code.QUARANTINED, True, "quarantined", QUARANTINE_RETRY_AFTER_S)
+        if not route.is_repeatable and request.deadline_s(route) > self.answers_until_s:
+            # It might still run when the entry ends, and its caller could not send it again.
+            return RequestFailure(Code.ENTRY_LEAVING, True, "leaving", 0.0)
+        if not is_limited(organisation):
+            return None
+        admission = self.acquire_quota(organisation)
+        if admission.is_admitted:
+            return None
+        return RequestFailure(Code.OVER_LIMIT, True, "over-limit", admission.retry_after_s)
 
     def decide_access(self, configuration, route, digest):
         """Return the `AccessDecision` for a request now; see `decide_access` of the core."""
@@ -145,6 +174,10 @@
     def retain_routes(self, route_by_name):
         """Drop the state of routes that no longer exist."""
         self.splitter.retain_routes(route_by_name)
+        self.hedging.retain_routes(route_by_name)
+        self.admission.retain_services(
+            {one.service for route in route_by_name.values() for one in route.services}
+        )
         for name, service in list(self._durations_by_route):
             if name not in route_by_name:
                 del self._durations_by_route[name, service]
@@ -161,10 +194,13 @@
     def apply_settings(self, settings):
         """Put new settings in force; what has been spent of the budgets stays spent."""
         self.settings = settings
+        self.region_shares.apply_settings(settings)
         for budget in self._retry_budget_by_service.values():
             budget.window_s = settings.retry_window_s
             budget.ratio = settings.retry_ratio
             budget.slack = settings.retry_slack
+        if not settings.admission:
+            self.admission.switch_off()
 
     def route_durations(self, route, service):
         """Return the estimated run times of a route's requests at a service."""
--- a/figfold/wire/codec.py
+++ b/figfold/wire/codec.py
@@ -16,6 +16,8 @@
     MAX_QUARANTINED,
     MAX_STRIKES,
 )
+from figfold.core.quotas.messages import QuotaReply, QuotaRequest
+from figfold.core.regions.measurement import DemandStatement
 from figfold.wire.fields import (
     KEY_PATTERN,
     MAX_ERROR_CHARS,
@@ -29,6 +31,7 @@
     require_match,
     require_max_chars,
     require_name,
+    require_statement,
 )
 from figfold.wire.knowledge_codec import (
     read_knowledge_reply,
@@ -49,6 +52,12 @@
     ProbeRequest,
     Report,
 )
+from figfold.wire.quota_codec import (
+    read_quota_reply,
+    read_quota_request,
+    write_quota_reply,
+    write_quota_request,
+)
 from figfold.wire.segment_table import WORD_BYTES, read_segment_table
 
 # Limit of a message, both packed as it is sent and unpacked.
@@ -96,6 +105,11 @@
         item.inProgress = load.in_progress
         item.queued = load.queued
         item.room = load.room
+        demand = load.demand
+        item.requestsPerS = demand.requests_per_s
+        item.runS = demand.run_s
+        item.utilisation = demand.utilisation
+        item.localShare = demand.local_share
 
 
 def _write_quarantined(items, quarantined):
@@ -156,7 +170,16 @@
 
 def _read_load(item):
     return ServiceLoad(
-        require_name(item.service, "service"), item.inProgress, item.queued, item.room
+        require_name(item.service, "service"),
+        item.inProgress,
+        item.queued,
+        item.room,
+        DemandStatement(
+            require_statement(item.requestsPerS, "requestsPerS"),
+            require_statement(item.runS, "runS"),
+            require_statement(item.utilisation, "utilisation"),
+            require_statement(item.localShare, "localShare"),
+        ),
     )
 
 
@@ -281,6 +304,8 @@
     ProbeRequest: ("probeRequest", _write_probe_request),
     MembersRequest: ("membersRequest", _write_members_request),
     MembersReply: ("membersReply", _write_members_reply),
+    QuotaRequest: ("quotaRequest", write_quota_request),
+    QuotaReply: ("quotaReply", write_quota_reply),
 }
 _READER_BY_KIND = {
     "report": _read_report,
@@ -294,6 +319,8 @@
     "probeRequest": _read_probe_request,
     "membersRequest": _read_members_request,
     "membersReply": _read_members_reply,
+    "quotaRequest": read_quota_request,
+    "quotaReply": read_quota_reply,
 }
 
 
