Bound the bodies of requests in progress at one server

All requests for an object went to the server that holds it warm, whatever their bodies took up there together: three of 40 MB were sent to one server at the same time. A body that does not fit beside others now goes to another server, or its request is refused like one beyond the servers' limits. Entries share the bound by their parts of those limits.

--- a/figfold/core/traffic/selection.py
+++ b/figfold/core/traffic/selection.py
@@ -28,6 +28,13 @@
 SERVER_QUEUE_LIMIT = 8
 # Age up to which a server's report counts for the room that a service has.
 ROOM_REPORT_AGE_S = 1.0
+# Size of the bodies in progress at one server, those of all entries together. A server holds the
+# bodies of its requests, and ends if its memory is too small for them.
+SERVER_BODY_BYTES = 64 << 20
+# Size up to which the bodies of one entry need no part of that.
+SMALL_BODY_BYTES = 256 << 10
+# Time after which a request for whose body there is no room should be sent again.
+BODY_RETRY_AFTER_S = 0.5
 # An attempt is overdue after this multiple of its expected duration.
 OVERDUE_FACTOR = 2.0
 
@@ -54,6 +61,8 @@
     needs_free_slot : bool
         Whether to choose only a server that is expected to start the request at once and is not
         within its cold start.
+    body_bytes : int
+        Size of its body.
     """
 
     service: str
@@ -64,6 +73,7 @@
     overflow_regions: frozenset = frozenset()
     is_last_resort: bool = False
     needs_free_slot: bool = False
+    body_bytes: int = 0
 
 
 @frozen
@@ -113,6 +123,8 @@
     load_by_server : dict[str, ServerLoad]
     limits : ServerLimits
     ranking : FleetRanking
+    body_part : callable
+        ``(server_id) -> float``, this entry's part of `SERVER_BODY_BYTES`.
     """
 
     fleet: object
@@ -124,6 +136,7 @@
         lambda self: FleetRanking(self.fleet, self.region_by_place), takes_self=True
     )
     load_by_server: dict = Factory(dict)
+    body_part: object = lambda _server_id: 1.0
     _started_ms_by_server: dict = Factory(dict)
 
     def load(self, server):
@@ -186,11 +199,25 @@
         """Return the time until a limit permits a request; 0 if no limit is the reason."""
         waits_s = [
             self._limit_wait_s(one, now_s)
+            or (0.0 if self._has_body_room(one, request) else BODY_RETRY_AFTER_S)
             for one in self.ranking.roster(request.service).servers
             if self._is_in_home_region(one, request) and one.record.id not in request.tried
         ]
         return min(waits_s, default=0.0)
 
+    def _has_body_room(self, server, request):
+        """Return whether a server can take the request's body beside this entry's other ones.
+
+        A body alone always fits, since a request that no server may get would never run.
+        """
+        load = self.load_by_server.get(server.record.id) if request.body_bytes else None
+        if load is None or not load.body_bytes:
+            return True
+        total_bytes = load.body_bytes + request.body_bytes
+        if total_bytes <= SMALL_BODY_BYTES:
+            return True
+        return total_bytes <= SERVER_BODY_BYTES * self.body_part(server.record.id)
+
     def _limit_wait_s(self, server, now_s):
         return self.limits.wait_s(server.record.id, server.record.started_ms, now_s)
 
@@ -232,6 +259,7 @@
             return (
                 server.record.id not in request.tried
                 and self._limit_wait_s(server, now_s) <= 0.0
+                and self._has_body_room(server, request)
                 and now_s >= self.load(server).backoff_until_s
                 and (not server.is_cold(now_s) or may_use_cold_server(server))
             )
@@ -285,7 +313,9 @@
         untried = [
             one
             for one in usable
-            if one.record.id not in request.tried and self._limit_wait_s(one, now_s) <= 0.0
+            if one.record.id not in request.tried
+            and self._limit_wait_s(one, now_s) <= 0.0
+            and self._has_body_room(one, request)
         ]
         available = [one for one in untried if now_s >= self.load(one).backoff_until_s]
         ready = [
--- a/figfold/core/traffic/server_load.py
+++ b/figfold/core/traffic/server_load.py
@@ -56,6 +56,8 @@
         Mean ratio of the attempts' durations to the expected ones.
     warm_keys : OrderedDict
         Objects that this entry has sent requests for, the most recent last.
+    body_bytes : int
+        Size of the bodies of this entry's attempts in progress.
     """
 
     slots: int
@@ -70,10 +72,15 @@
     consecutive_failures: int = 0
     backoff_until_s: float = -inf
     warm_keys: OrderedDict = Factory(OrderedDict)
+    body_bytes: int = 0
+    _body_bytes_by_attempt: dict[int, int] = Factory(dict)
 
-    def start(self, attempt_id, key, now_s):
+    def start(self, attempt_id, key, now_s, body_bytes=0):
         """Record the start of an attempt."""
         self.in_flight[attempt_id] = now_s
+        if body_bytes:
+            self._body_bytes_by_attempt[attempt_id] = body_bytes
+            self.body_bytes += body_bytes
         if key:
             self.warm_keys[key] = now_s
             self.warm_keys.move_to_end(key)
@@ -83,6 +90,7 @@
     def end(self, attempt_id):
         """Record the end of an attempt, whatever its outcome."""
         self.in_flight.pop(attempt_id, None)
+        self.body_bytes -= self._body_bytes_by_attempt.pop(attempt_id, 0)
 
     def is_warm(self, key):
         """Return whether this entry has recently sent the server a request for the object."""
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -260,12 +260,13 @@
             ServerLimits(settings.name),
             self.cluster.ranking,
         )
+
+        def part_of_limit(server_id):
+            return selector.part_of_limit(server_id, self.cluster.live_entry_regions())
+
+        selector.body_part = part_of_limit
         sender = Sender(
-            self.connections,
-            self.cluster.fleet,
-            selector.limits,
-            lambda server_id: selector.part_of_limit(server_id, self.cluster.live_entry_regions()),
-            self.log,
+            self.connections, self.cluster.fleet, selector.limits, part_of_limit, self.log
         )
         self.request_runner = RequestRunner(
             cluster=self.cluster,
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -196,7 +196,9 @@
         if choice.is_cold_server:
             runner.cluster.record_cold_request(choice.server_id, now)
         runner.selector.limits.record_request(choice.server_id, now)
-        runner.selector.load_by_server[choice.server_id].start(attempt_id, self.key, now)
+        runner.selector.load_by_server[choice.server_id].start(
+            attempt_id, self.key, now, len(self.request.body)
+        )
         self.tried.add(choice.server_id)
         self.progress = evolve(self.progress, started_attempts=self.progress.started_attempts + 1)
         self._log(
@@ -316,6 +318,7 @@
             frozenset(regions),
             is_last_resort,
             needs_free_slot,
+            len(self.request.body),
         )
 
     def _choose(self, is_overflow=False, is_last_resort=False, needs_free_slot=False):
--- a/test/test_slow_callers.py
+++ b/test/test_slow_callers.py
@@ -26,10 +26,12 @@
     ----------
     open, broken : int
         Connections that are open, and those that were closed before an answer was sent whole.
+    reads : bool
+        Whether it reads what it is sent.
     """
 
     def __init__(self, length=ANSWER_BYTES):
-        self.length = length
+        self.length, self.reads, self.sockets = length, True, []
         self.open = self.broken = 0
         self.listener = listen()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
@@ -42,7 +44,10 @@
 
     def _serve(self, sock):
         self.open += 1
+        self.sockets.append(sock)
         try:
+            while not self.reads:
+                eventlet.sleep(0.05)
             while sock.recv(65536):
                 sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.length)
                 for _ in range(self.length // READ_SIZE_BYTES):
@@ -53,6 +58,12 @@
             self.open -= 1
             sock.close()
 
+    def close(self):
+        """Close all connections."""
+        self.reads = True
+        for sock in self.sockets:
+            sock.shutdown(socket.SHUT_RDWR)
+
 
 class SlowCallersTest(unittest.TestCase):
     def start(self, memory_bytes, length=ANSWER_BYTES, **constants):
@@ -85,14 +96,17 @@
         """Return the memory that answers take up at the entry."""
         return self.state()["held_bytes"]
 
-    def call(self):
+    def call(self, body_bytes=0):
         """Send a request and return the caller's socket, of which nothing was read."""
         sock = green_socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
         host, port = self.address.split(":")
         sock.connect((host, int(port)))
         self.addCleanup(sock.close)
-        sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n")
+        head = b"GET /a HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n"
+        if body_bytes:
+            head = head.replace(b"GET", b"POST") + b"Content-Length: %d\r\n" % body_bytes
+        sock.sendall(head + b"\r\n" + bytes(body_bytes))
         return sock
 
     def read_all(self, sock, pause_s=0.0, part_bytes=1 << 20, wanted=ANSWER_BYTES):
@@ -192,6 +206,18 @@
             self.call()
         self.assertTrue(self.wait(lambda: self.server.broken == 3))
 
+    # The body is held once and counted until its request ends, however slowly its server reads.
+    def test_body_that_its_server_does_not_read_is_counted_until_the_request_ends(self):
+        self.start(memory_bytes=64 << 20)
+        self.server.reads = False
+        sock = self.call(ANSWER_BYTES)
+        self.assertTrue(self.wait(lambda: self.server.open == 1))
+        self.assertTrue(self.wait(lambda: self.state()["body_bytes"] == ANSWER_BYTES))
+        self.server.thread.kill()
+        self.server.close()
+        self.assertTrue(self.wait(lambda: self.state()["body_bytes"] == 0))
+        sock.close()
+
     # A caller that sends requests ahead and reads nothing holds answers that wait for their turn.
     def test_answers_that_wait_for_their_turn_are_given_up_with_the_first(self):
         self.start(memory_bytes=64 << 20, PART_S=0.5)
