Serve organisations of little demand by single requests

Cause: with many organisations of a few requests a second each, entries held small leases for seconds after a request, estimates of rare requests were too high, and regions borrowed on the usual noise of their demand. A seventh of the requests of small organisations was refused at half of their limits. Change: an entry with less than a request in 2 s gets no lease and asks. The margin of a region is bounded by its demand. A rate that runs short of tokens is stated again earlier.

--- a/figfold/core/quotas/ledger.py
+++ b/figfold/core/quotas/ledger.py
@@ -27,16 +27,21 @@
 UNLENT_FRACTION = 0.2
 # Part of an entry, in requests, below which its bucket is full or empty most of the time.
 SMALL_TOKENS = 3.0
+MIN_LEASE_PER_S = 0.5  # Demand of an entry below which it asks for each request.
+# Further fraction that is not lent to entries of small parts.
+UNLENT_FRACTION_FOR_SMALL = 0.2
 # Demand, as a fraction of what there is, up to which entries of small parts keep or get a lease.
 # Above it, what their buckets lose is needed elsewhere.
-KEEP_FRACTION = 0.6
-GIVE_FRACTION = 0.45
+KEEP_FRACTION = 0.65
+GIVE_FRACTION = 0.55
 # Fraction up to which a limit is lent without dividing it first.
 AMPLE_FRACTION = 0.4
 # Level to which the bucket of a borrower that runs short is filled, as a fraction of its size.
 TOP_UP_LEVEL = 0.5
 TOP_UP_FRACTION = 0.5  # Of the tokens that are not lent, for one borrower that runs short.
 ENTRY_HEADROOM = 1.2  # Factor of its demand that an entry is lent while little is in use.
+# Largest margin for the usual deviation of a region's demand, as a fraction of it.
+MAX_MARGIN = 0.25
 REGION_HEADROOM = 1.1  # Factor of its demand that a region borrows.
 LENDER_HEADROOM = 1.05  # Factor of its own demand that a region keeps before it lends.
 MIN_LOAN = 0.02  # Smallest share that is lent to other regions.
@@ -348,7 +353,9 @@
         name = pool.organisation.name
         want = _want(pool, demand)
         used = max(pool.lent, pool.need) + want
-        if not borrower.is_region and used <= AMPLE_FRACTION * self._base(now_s):
+        if borrower.is_region or 0.0 < demand < MIN_LEASE_PER_S:
+            return
+        if used <= AMPLE_FRACTION * self._base(now_s):
             borrower.loan_by_name[name].target = want
 
     def _uncovered(self, borrower, end_s):
@@ -470,7 +477,7 @@
         rate = pool.organisation.rate_per_s
         pool.need = 0.0
         if demand > 0.0:
-            need = (REGION_HEADROOM * demand + sqrt(demand)) / rate
+            need = (REGION_HEADROOM * demand + min(sqrt(demand), MAX_MARGIN * demand)) / rate
             pool.need = max(need, 1.0 / pool.size)
         base = self._base(now_s + REGION_LEASE_S)
         own_need = (LENDER_HEADROOM * demand + 0.5 * sqrt(demand)) / rate
@@ -652,10 +659,13 @@
     limit = KEEP_FRACTION if any(entry in holding for entry in small) else GIVE_FRACTION
     if total > limit * share * rate:
         return part_by_entry
+    small = {
+        entry: want for entry, want in small.items() if demand_by_entry[entry] >= MIN_LEASE_PER_S
+    }
     needed = sum(REGION_HEADROOM * demand_by_entry[entry] / rate for entry in small)
     for entry in _in_order(small, demand_by_entry, holding):
         needed -= REGION_HEADROOM * demand_by_entry[entry] / rate
-        if left - small[entry] < needed:
+        if left - small[entry] < max(needed, UNLENT_FRACTION_FOR_SMALL * share):
             break
         part_by_entry[entry] = small[entry]
         left -= small[entry]
--- a/figfold/core/quotas/limiter.py
+++ b/figfold/core/quotas/limiter.py
@@ -29,13 +29,11 @@
 INTERVAL_SLACK_S = 0.02
 # Age from which a reply is not repeated as a proof of contact.
 MAX_ECHO_AGE_S = DELEGATION_S / 2
-# Time after its last request for which an organisation keeps the smallest lease.
-HOLD_S = 5.0
-HELD_PER_S = 0.01
-MIN_PER_S = 0.2  # Demand below this is that of a single past request.
+MIN_PER_S = 0.1  # Demand below this is that of a single past request.
 # A demand is stated again once it differs by this fraction, or by this many usual deviations.
 CHANGED_FRACTION = 0.15
 CHANGED_DEVIATIONS = 1.5
+SHORT_DEVIATIONS = 0.5  # Where requests run short of tokens.
 # Time for which a permit can be used by a request that has waited for it.
 PERMIT_S = 0.1
 # Time for which the quota holder is not asked again after it had nothing for a request.
@@ -94,9 +92,7 @@
     def stated_per_s(self, now_s):
         """Return the demand to be stated to a quota holder."""
         per_s = self.demand.per_s(now_s)
-        if per_s >= MIN_PER_S:
-            return per_s
-        return HELD_PER_S if now_s - self.last_request_s < HOLD_S else 0.0
+        return per_s if per_s >= MIN_PER_S else 0.0
 
 
 @define(eq=False)
@@ -343,7 +339,7 @@
             per_s = account.stated_per_s(now_s)
             stated = 0.0 if is_whole or lender is None else lender.stated_by_name.get(name, 0.0)
             is_short = (account.is_short or account.waiting) and not account.is_scarce
-            is_changed = _has_changed(stated, per_s)
+            is_changed = _has_changed(stated, per_s, is_short)
             if not is_short and not is_changed:
                 continue
             if not is_changed:
@@ -423,9 +419,11 @@
     return organisation.rate_per_s, organisation.burst
 
 
-def _has_changed(stated, per_s):
+def _has_changed(stated, per_s, is_short):
     """Return whether a demand differs from the stated one by more than it usually does."""
     if not stated or not per_s:
         return stated != per_s
-    usual = CHANGED_DEVIATIONS * deviation(max(stated, per_s), SLOW_WINDOW_S)
+    usual = (SHORT_DEVIATIONS if is_short else CHANGED_DEVIATIONS) * deviation(
+        max(stated, per_s), SLOW_WINDOW_S
+    )
     return abs(per_s - stated) > max(CHANGED_FRACTION * stated, usual)
--- a/figfold/core/quotas/limits.py
+++ b/figfold/core/quotas/limits.py
@@ -23,7 +23,7 @@
 FAST_WINDOW_S = 0.7
 SLOW_WINDOW_S = 4.0
 # Smallest weight of the time since the first request, so that one request is no high rate.
-MIN_WEIGHT = 0.4
+MIN_WEIGHT = 0.7
 # The fast rate holds if it differs from the slow one by this many usual deviations, and by at
 # least this many requests in its time.
 FAST_DEVIATIONS = 3.0
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -189,7 +189,7 @@
                     cluster.load(name, "a", 0.7 * rate / 72, SETTLED_S, 18.0)
                 cluster.run_until(18.0)
                 admitted, refused = cluster.results["a", True], cluster.results["a", False]
-                self.assertGreater(admitted, 0.88 * (admitted + refused))
+                self.assertGreater(admitted, 0.95 * (admitted + refused))
 
     def test_an_organisation_at_six_times_its_usual_gets_its_limit_and_no_more(self):
         organisation, other = make_organisation(burst=100.0), make_organisation("b", burst=100.0)
