--- a/figfold/gateway/quota_exchange.py
+++ b/figfold/gateway/quota_exchange.py
@@ -100,7 +100,7 @@
             finally:
                 admission = self.limiter.end_wait(organisation, now_s())
         if not admission.is_admitted:
-            self.metrics.count("over_limit", organisation=organisation.name)
+            self.metrics.count("over_limit")
         return admission
 
     def _ask_and_wait(self):
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -250,7 +250,7 @@
             return True
         is_unconfirmed = decision.access is Access.UNCONFIRMED_KEYS
         self.last_code = Code.KEYS_UNCONFIRMED if is_unconfirmed else Code.UNKNOWN_API_KEY
-        self._log("key-withdrawn", organisation=self.organisation.name, code=int(self.last_code))
+        self._log("key-withdrawn", code=int(self.last_code))
         return False
 
     def _choose_elsewhere(self, choice, is_hedge, now):
