--- a/test/test_regions.py
+++ b/test/test_regions.py
@@ -462,6 +462,7 @@
     def run_request(self, balancing=True, homes=frozenset(), key="k"):
         runner = Mock(answers_until_s=inf, selector=self.selector, overflow_limiter=self.limiter)
         runner.settings.region_balancing = balancing
+        runner.settings.hedge_ratio = 0.0
         runner.cluster.regions_with_free_slots.return_value = ()
         runner.cluster.may_use_cold_server.return_value = False
         runner.cluster.server_round_trip_s.return_value = 0.0
