Play uneven demand against the entries in virtual time

Five loads in test_regions: a region with a tenth of the servers and a third of the demand, waves out of phase, half of the callers moving for 7 s, a tenth of the servers at a fifth of their speed, and the setting off.

--- a/test/test_regions.py
+++ b/test/test_regions.py
@@ -43,6 +43,8 @@
 from figfold.wire.messages import Report
 from test.test_traffic_fleet import make_record
 from test.test_traffic_selection import make_durations
+from test.virtual import run_virtual
+from test.virtual_regions import SAMPLE_S, RegionWorld, wave
 
 REGIONS = ("a", "b", "c")
 REGION_BY_PLACE = {"a1": "a", "b1": "b", "c1": "c"}
@@ -580,6 +582,75 @@
         self.assertLess(load.current_machine_slowdown(5.0), 1.1)
 
 
+class UnevenLoadTest(unittest.TestCase):
+    """Entries with their reports, servers with a memory, and uneven demand, in virtual time."""
+
+    SERVERS_BY_REGION = {"a": 3, "b": 14, "c": 14}
+    MEAN_PER_S = 40.0
+    SECONDS = 36.0
+
+    def play(self, per_s, slow_servers=(), servers_by_region=None, balancing=True):
+        """Play a load and return its `RegionWorld`; the bound of the shares is checked."""
+        worlds = []
+
+        def run(hub):
+            servers = servers_by_region or self.SERVERS_BY_REGION
+            world = RegionWorld.from_servers(hub, servers, per_s, balancing, entries=3)
+            for server_id in slow_servers:
+                world.server_by_id[server_id].fault_slowdown = 5.0
+            worlds.append(world)
+            world.play(self.SECONDS)
+
+        run_virtual(run)
+        if balancing:
+            for region in REGIONS:
+                self.assertLessEqual(worlds[0].largest_shift(region), SHIFT_BOUND - 0.09)
+        return worlds[0]
+
+    # The region sent 61 % of its requests away, whatever it and the others had to do.
+    def test_region_with_a_tenth_of_the_servers_and_a_third_of_the_demand(self):
+        calm = self.play(lambda _region, _at_s: 12.0)
+        self.assertGreaterEqual(calm.share("a", "a"), 0.6)
+        heavy = self.play(lambda _region, _at_s: 60.0)
+        self.assertLess(heavy.share("a", "a"), 0.38)
+        self.assertGreater(heavy.share("a", "a"), 0.2)
+        for world in (calm, heavy):
+            self.assertLess(world.refused(after_s=10.0), 0.02)
+
+    # Objects that moved with each wave ran cold, which cost more than the waves.
+    def test_waves_out_of_phase_move_few_objects(self):
+        waves = {
+            region: wave(self.MEAN_PER_S, phase)
+            for region, phase in (("a", 0.0), ("b", 0.33), ("c", 0.67))
+        }
+        world = self.play(lambda region, at_s: waves[region](at_s))
+        self.assertLess(world.refused(after_s=10.0), 0.03)
+        for region in ("b", "c"):
+            self.assertGreaterEqual(world.share(region, region), 0.8)
+        settled = [one["a"] for one in world.samples[int(22.0 / SAMPLE_S) :]]
+        self.assertLess(distance(settled[0], settled[-1]), 0.25)
+
+    def test_half_of_the_callers_moves_for_seven_seconds(self):
+        def per_s(region, at_s):
+            if not 18.0 <= at_s < 25.0:
+                return self.MEAN_PER_S
+            return self.MEAN_PER_S * {"a": 1.5, "b": 0.5, "c": 1.0}[region]
+
+        world = self.play(per_s)
+        self.assertLess(world.refused(after_s=10.0), 0.03)
+
+    def test_tenth_of_the_servers_at_a_fifth_of_their_speed(self):
+        slow = ("a1-s0", "b1-s0", "c1-s0")
+        world = self.play(lambda _region, _at_s: self.MEAN_PER_S, slow_servers=slow)
+        self.assertLess(world.refused(after_s=10.0), 0.04)
+
+    # With the setting off, nothing is stated, and shares and refusals are as before.
+    def test_setting_off_plays_as_before(self):
+        world = self.play(lambda _region, _at_s: 12.0, balancing=False)
+        self.assertFalse(any(sample["a"] for sample in world.samples))
+        self.assertAlmostEqual(world.local("a"), 0.38, delta=0.12)
+
+
 class ReportTest(unittest.TestCase):
     def test_reports_that_state_no_demand_cost_no_bytes_and_are_read_as_unknown(self):
         own = EntryReport("e", "a1", 1, "", "", "", False, 0, "", 0.0)
--- a/test/virtual_regions.py
+++ b/test/virtual_regions.py
@@ -4,12 +4,14 @@
 """
 
 import math
+from collections import Counter
 from random import Random
 
 import eventlet
 from attrs import Factory, define, frozen
 
 from figfold.core.codes import Code
+from figfold.core.regions.shares import distance
 from figfold.core.traffic.retry_decision import AttemptOutcome
 from figfold.core.traffic.server_load import LoadReport
 from figfold.entry.clock import now_s
@@ -34,6 +36,7 @@
 TIMEOUT_S = 3.0
 LATE_WORTH = 0.2
 WINDOW_S = 2.0
+SAMPLE_S = 0.1
 
 
 @define(eq=False)
@@ -153,6 +156,8 @@
         ``(region, seconds since the start) -> float``, requests per second of its callers.
     objects_per_region : int
     served : list[Served]
+    samples : list[dict[str, Counter]]
+        Mean shares in force of the entries of each region, each tenth of a second.
     """
 
     fleet: VirtualFleet
@@ -162,6 +167,7 @@
     random: Random
     seed: int = 1
     served: list = Factory(list)
+    samples: list = Factory(list)
     started_s: float = 0.0
     _requests: int = 0
 
@@ -213,6 +219,7 @@
         """Let callers send requests for a time, and wait until all have ended."""
         self.started_s = now_s()
         eventlet.spawn_n(self._change_machines, seconds)
+        eventlet.spawn_n(self._sample_shares, seconds)
         threads = [
             eventlet.spawn(self._send, one, seconds) for one in set(REGION_BY_PLACE.values())
         ]
@@ -227,6 +234,25 @@
                 server.machine_slowdown = SLOW_MACHINE_FACTOR if is_slow else 1.0
             eventlet.sleep(SLOW_MACHINE_PERIOD_S)
 
+    def _sample_shares(self, seconds):
+        while now_s() < self.started_s + seconds:
+            sample = {region: Counter() for region in REGION_BY_PLACE.values()}
+            count = Counter(
+                REGION_BY_PLACE[self.fleet.place_by_entry[one]] for one in self.entries()
+            )
+            for name in self.entries():
+                region = REGION_BY_PLACE[self.fleet.place_by_entry[name]]
+                shares = self.fleet.gateway_by_entry[name].request_runner.region_shares
+                balancer = shares.balancer
+                in_force = dict(balancer.shares_in_force().get(SERVICE, ())) if balancer else {}
+                sample[region].update({one: part / count[region] for one, part in in_force.items()})
+            self.samples.append(sample)
+            eventlet.sleep(SAMPLE_S)
+
+    def entries(self):
+        """Return the names of the entries that run."""
+        return list(self.fleet.process_by_entry)
+
     def _send(self, region, seconds):
         while now_s() < self.started_s + seconds:
             per_s = self.per_s(region, now_s() - self.started_s)
@@ -294,22 +320,23 @@
         ]
         return sum(one.server_region == region for one in ones) / max(1, len(ones))
 
-    def largest_shift(self, region, after_s):
-        """Return the largest part of a region's requests that changes region between windows."""
-        windows = {}
-        for one in self.served:
-            if one.region == region and one.at_s >= after_s and one.duration_s:
-                counts = windows.setdefault(int(one.at_s / WINDOW_S), {})
-                counts[one.server_region] = counts.get(one.server_region, 0) + 1
+    def largest_shift(self, region):
+        """Return the largest difference of a region's shares between windows that adjoin."""
+        per_window = int(WINDOW_S / SAMPLE_S)
+        shares = [sample[region] for sample in self.samples if sample[region]]
+        windows = [
+            sum(shares[start : start + per_window], Counter())
+            for start in range(len(shares) - per_window)
+        ]
         return max(
-            (
-                _distance(counts, windows[number + 1])
-                for number, counts in windows.items()
-                if number + 1 in windows
-            ),
-            default=0.0,
+            distance(first, second) / per_window
+            for first, second in zip(windows, windows[per_window:], strict=False)
         )
 
+    def share(self, region, target):
+        """Return the share in force at the end of a region's requests at another's servers."""
+        return self.samples[-1][region][target]
+
 
 def _worth(one):
     if one.duration_s is None:
@@ -317,14 +344,6 @@
     return 1.0 if one.duration_s <= TARGET_S else LATE_WORTH
 
 
-def _distance(first, second):
-    first_total, second_total = sum(first.values()), sum(second.values())
-    regions = {*first, *second}
-    return 0.5 * sum(
-        abs(first.get(one, 0) / first_total - second.get(one, 0) / second_total) for one in regions
-    )
-
-
 def wave(mean, phase, swing=0.55, period_s=36.0):
     """Return a function of the time for a periodic demand."""
     return lambda at_s: mean * (1.0 + swing * math.sin(2.0 * math.pi * (at_s / period_s + phase)))
