Keep the shares between regions while they load no region too much

Targets change only while the own region is filled beyond 0.65 and 1.15 times the mean, or below 0.2, or while a region that takes a surplus is full. test_regions: 44 passed.

--- a/figfold/core/regions/balancer.py
+++ b/figfold/core/regions/balancer.py
@@ -12,6 +12,7 @@
     SHARE_UNITS,
     desired_shares,
     distance,
+    is_tolerable,
     ordered_shares,
     quantise,
     regions_with_room,
@@ -223,6 +224,8 @@
         desired = desired_shares(self.own_region, load_by_region, known)
         if not desired:
             return
+        if is_tolerable(self.own_region, load_by_region, _to_parts(shares.target)):
+            return
         units = quantise(desired)
         if distance(units, shares.target) > DEAD_BAND * SHARE_UNITS:
             shares.target = units
--- a/figfold/core/regions/shares.py
+++ b/figfold/core/regions/shares.py
@@ -4,7 +4,12 @@
 
 # Part of a region's slots that its own requests may fill before it sends a surplus elsewhere. Few
 # servers with a queue of their own each make requests wait long before all slots are busy.
-TARGET_UTILISATION = 0.4
+TARGET_UTILISATION = 0.35
+# While the requests that stay in a region fill a part of its slots between these, or little more
+# than all regions on average, objects stay where they are warm.
+LOW_UTILISATION = 0.2
+HIGH_UTILISATION = 0.65
+LEVEL_TOLERANCE = 1.15
 # A smaller part of a region's requests than this stays in the region, because requests that come
 # and go with a wave would run cold more often than they would wait.
 MIN_SURPLUS = 0.2
@@ -144,6 +149,26 @@
     return max(0.0, FULL_FACTOR * level * load.slots - load.needed_slots)
 
 
+def is_tolerable(own_region, load_by_region, shares):
+    """Return whether shares fill neither the own region nor one that serves its surplus too much.
+
+    Parameters
+    ----------
+    shares : dict[str, float]
+        With a part for the own region, if it may serve the requests.
+    """
+    level = utilisation_level(load_by_region)
+    own, share = load_by_region[own_region], shares.get(own_region, 0.0)
+    if not own.slots:
+        return False
+    utilisation = share * own.needed_slots / own.slots
+    is_idle = utilisation < LOW_UTILISATION and share < 1.0
+    if is_idle or utilisation > max(HIGH_UTILISATION, LEVEL_TOLERANCE * level):
+        return False
+    others = (one for one, part in shares.items() if part and one != own_region)
+    return all(_room(load_by_region[one], level) for one in others)
+
+
 def utilisation_level(load_by_region):
     """Return the utilisation up to which each region serves its own requests."""
     slots = sum(one.slots for one in load_by_region.values())
--- a/test/test_regions.py
+++ b/test/test_regions.py
@@ -83,9 +83,9 @@
     def test_small_region_serves_its_own_requests_up_to_the_target_utilisation(self):
         loads = make_loads((12.0, 12.0, 12.0))
         self.assertEqual(desired_shares("a", loads, REGIONS), {"a": 1.0})
-        loads = make_loads((60.0, 60.0, 60.0))
+        loads = make_loads((40.0, 40.0, 40.0))
         shares = desired_shares("a", loads, REGIONS)
-        self.assertAlmostEqual(shares["a"], TARGET_UTILISATION * 12 / (60.0 * RUN_S))
+        self.assertAlmostEqual(shares["a"], TARGET_UTILISATION * 12 / (40.0 * RUN_S))
         self.assertAlmostEqual(shares["b"], shares["c"])
 
     def test_demand_beyond_all_slots_fills_all_regions_alike(self):
