--- a/test/virtual_regions.py
+++ b/test/virtual_regions.py
@@ -1,9 +1,11 @@
 """Demand that differs between regions and over time, served by gateway entries in virtual time.
 
 The entries are those of the daemon, with their reports; servers, links and callers are simulated.
+`python -m test.virtual_regions PER_S SECONDS SEED` compares the setting on and off.
 """
 
 import math
+import sys
 from collections import Counter
 from random import Random
 
@@ -18,9 +20,11 @@
 from figfold.gateway.requests import GatewayRequest
 from figfold.gateway.sender import AttemptResult
 from figfold.platform.headers import AnswerHeaders
+from test.virtual import run_virtual
 from test.virtual_gateway import SERVICE, VirtualFleet
 
 REGION_BY_PLACE = {"a1": "a", "b1": "b", "c1": "c"}
+PHASE_BY_REGION = {"a": 0.0, "b": 0.33, "c": 0.67}
 REGION_DELAY_S = 0.055
 SLOTS = 3
 QUEUE = 9
@@ -347,3 +351,32 @@
 def wave(mean, phase, swing=0.55, period_s=36.0):
     """Return a function of the time for a periodic demand."""
     return lambda at_s: mean * (1.0 + swing * math.sin(2.0 * math.pi * (at_s / period_s + phase)))
+
+
+def main(arguments):
+    """Play waves out of phase with and without balancing; print worth and refusals by region."""
+    mean_per_s, seconds, seed = float(arguments[0]), float(arguments[1]), int(arguments[2])
+    for balancing in (False, True):
+        run_virtual(
+            lambda hub, balancing=balancing: _trial(hub, mean_per_s, seconds, seed, balancing)
+        )
+
+
+def _trial(hub, mean_per_s, seconds, seed, balancing):
+    waves = {one: wave(mean_per_s, phase) for one, phase in PHASE_BY_REGION.items()}
+    world = RegionWorld.from_servers(
+        hub,
+        {"a": 12, "b": 54, "c": 54},
+        lambda region, at_s: waves[region](at_s),
+        balancing,
+        objects_per_region=200,
+        entries=8,
+        seed=seed,
+    )
+    world.play(seconds)
+    figures = {one: (round(world.worth(one), 3), round(world.refused(one), 3)) for one in "abc"}
+    print(f"balancing={balancing} worth={world.worth():.3f} refused={world.refused():.4f}", figures)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
