--- a/test/virtual_regions.py
+++ b/test/virtual_regions.py
@@ -225,7 +225,8 @@
         eventlet.spawn_n(self._change_machines, seconds)
         eventlet.spawn_n(self._sample_shares, seconds)
         threads = [
-            eventlet.spawn(self._send, one, seconds) for one in set(REGION_BY_PLACE.values())
+            eventlet.spawn(self._send, one, seconds)
+            for one in sorted(set(REGION_BY_PLACE.values()))
         ]
         for thread in threads:
             thread.wait()
