Serve organisations 1 s after a restart, and learn speeds only for balancing

A process now uses its base share 1 s after it is registered.

The mean speed of servers' machines took the place of the usual one for all deployments; it is now learned only with region_balancing.

--- a/figfold/core/quotas/limits.py
+++ b/figfold/core/quotas/limits.py
@@ -11,9 +11,11 @@
 # A quota holder grants leases of `ENTRY_LEASE_S` from what it borrows, so that a loan has to last
 # for one such lease, a round trip between regions and an interval.
 REGION_LEASE_S = 1.4
-# A process that is gone may have delegated its base share until then. The processes that run have
-# heard of a new one by then.
-BASE_DELAY_S = DELEGATION_S + 0.5
+# Time after its registration from which a process uses its base share. Its predecessor may have
+# delegated the same share to a quota holder that still runs, for up to a second longer: then both
+# use it, which the bound on requests leaves room for. After a restart of all processes no quota
+# holder remains, and a longer delay would refuse all requests.
+BASE_DELAY_S = 1.0
 # Smallest size of a limit's buckets together: requests, and seconds of the limit's rate. The share
 # of an entry can hold a whole request only if the buckets of all hold several.
 MIN_BURST = 10.0
--- a/figfold/core/traffic/server_load.py
+++ b/figfold/core/traffic/server_load.py
@@ -43,12 +43,27 @@
 
 @define
 class UsualSlowdown:
-    """Mean slowdown of the machines of all servers, for those whose own is not known now."""
+    """Mean slowdown of the machines of all servers, for those whose own is not known now.
 
+    Attributes
+    ----------
+    is_learned : bool
+        Whether it follows the reports; otherwise it is 1.
+    """
+
+    is_learned: bool = True
     value: float = 1.0
 
+    def set_learned(self, is_learned):
+        """Follow the reports, or count 1 from now on."""
+        self.is_learned = is_learned
+        if not is_learned:
+            self.value = 1.0
+
     def add(self, slowdown):
         """Add what an answer reports."""
+        if not self.is_learned:
+            return
         sample = min(MAX_SLOWDOWN_SAMPLE, slowdown)
         self.value += USUAL_SLOWDOWN_SMOOTHING * (sample - self.value)
 
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -20,6 +20,7 @@
 from figfold.core.traffic.placement import Placement
 from figfold.core.traffic.selection import Selector
 from figfold.core.traffic.server_limits import ServerLimits
+from figfold.core.traffic.server_load import UsualSlowdown
 from figfold.core.traffic.splitting import ServiceSplitter
 from figfold.entry.answer_memory import AnswerMemory
 from figfold.entry.clock import MS_PER_S, now_s, wall_s
@@ -259,6 +260,7 @@
             self.cluster.round_trip_s,
             ServerLimits(settings.name),
             self.cluster.ranking,
+            usual_slowdown=UsualSlowdown(settings.region_balancing),
         )
 
         def part_of_limit(server_id):
@@ -359,6 +361,7 @@
             return needing_restart
         self.settings = settings
         self.request_runner.apply_settings(settings)
+        self.request_runner.selector.usual_slowdown.set_learned(settings.region_balancing)
         self.store_sync.settings = settings
         self.store_reader.settings = settings
         self.lookup.ttl_s = settings.lookup_ttl_s
