Patch the process of the slow callers' entry alone, not that of the tests

test.test_slow_callers imports two constants of test/answer_port.py, which patched the blocking calls of the tests' own process at its import: in one run with it, tests in virtual time failed with 'cannot set the parent of a main greenlet'.

--- a/test/answer_port.py
+++ b/test/answer_port.py
@@ -7,7 +7,8 @@
 
 import eventlet
 
-eventlet.monkey_patch()
+if __name__ == "__main__":
+    eventlet.monkey_patch()
 
 import json  # noqa: E402
 import socket  # noqa: E402
