--- a/figfold/config/gateway_settings.py
+++ b/figfold/config/gateway_settings.py
@@ -26,6 +26,9 @@
         Whether requests are held or refused while a service is short of room.
     region_balancing : bool
         Whether the shares of requests between regions follow demand and free capacity.
+    limit_window_s, limit_overshoot, limit_slack : float
+        Requests of an organisation beyond its limit that are tolerated in any window: a fraction of
+        what the limit allows, and a number on top; over all entries.
     hedge_ratio : float
         Extra attempts per request of a service, over all entries; 0 leaves them to the budget of
         retries alone.
@@ -50,6 +53,9 @@
     retry_slack: float
     revocation_bound_s: float
     hedge_ratio: float
+    limit_window_s: float
+    limit_overshoot: float
+    limit_slack: float
     region_by_place: dict
     peers: PeerSettings
     log: LogSettings
@@ -84,6 +90,9 @@
             retry_slack=section.number("retry_slack"),
             revocation_bound_s=section.number("revocation_bound_s"),
             hedge_ratio=section.number("hedge_ratio", 0.0, 1.0),
+            limit_window_s=section.seconds("limit_window_s"),
+            limit_overshoot=section.number("limit_overshoot", 0.0, 1.0),
+            limit_slack=section.number("limit_slack"),
             region_by_place=region_by_place,
             peers=peers,
             log=log,
--- a/figfold/core/quotas/limiter.py
+++ b/figfold/core/quotas/limiter.py
@@ -5,6 +5,7 @@
 the bucket and ``w`` times the rate.
 """
 
+from collections import deque
 from math import inf
 
 from attrs import Factory, define, frozen
@@ -22,6 +23,7 @@
     is_limited,
 )
 from figfold.core.quotas.messages import QuotaDemand, QuotaRequest
+from figfold.core.quotas.tolerance import Tolerance
 
 # Between two requests to the quota holder, without anything to tell it.
 IDLE_INTERVAL_S = 0.5
@@ -88,6 +90,8 @@
     waiting: int = 0
     permits: int = 0
     permits_until_s: float = -inf
+    # When requests were admitted without a token.
+    tolerated_s: deque = Factory(deque)
 
     def stated_per_s(self, now_s):
         """Return the demand to be stated to a quota holder."""
@@ -107,12 +111,15 @@
         Number of entries that may be alive, each of which owns an equal base share.
     base_from_s : float
         When this process may use or delegate its base share; infinite until it is registered.
+    tolerance : Tolerance
+        Requests that may be admitted beyond the shares.
     """
 
     name: str
     incarnation: int
     entry_count: int = 1
     base_from_s: float = inf
+    tolerance: Tolerance = Factory(Tolerance)
     _limit_by_name: dict = Factory(dict)
     _limited_since_by_name: dict = Factory(dict)
     _account_by_name: dict = Factory(dict)
@@ -233,9 +240,26 @@
         if account.permits and now_s < account.permits_until_s:
             account.permits -= 1
             return ADMITTED
+        if self._take_tolerated(account, now_s):
+            return ADMITTED
         account.is_short = True
         return Admission(False, self._retry_after_s(account, now_s))
 
+    def _take_tolerated(self, account, now_s):
+        """Return whether a request is within this entry's part of what is tolerated."""
+        since_s = now_s - self.tolerance.window_s
+        # The former process of this entry may have used the part within the same window.
+        if self.base_from_s > since_s:
+            return False
+        times_s = account.tolerated_s
+        while times_s and times_s[0] <= since_s:
+            times_s.popleft()
+        part = self.tolerance.entry_part(account.organisation, self.name, self.entry_count)
+        if len(times_s) >= part:
+            return False
+        times_s.append(now_s)
+        return True
+
     def _retry_after_s(self, account, now_s):
         """Return the time until the next token that nobody else was told to come for."""
         account.refusals += 1
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -362,6 +362,7 @@
         self.settings = settings
         self.request_runner.apply_settings(settings)
         self.request_runner.selector.usual_slowdown.set_learned(settings.region_balancing)
+        self.quota_exchange.apply_settings(settings)
         self.store_sync.settings = settings
         self.store_reader.settings = settings
         self.lookup.ttl_s = settings.lookup_ttl_s
--- a/figfold/gateway/quota_exchange.py
+++ b/figfold/gateway/quota_exchange.py
@@ -8,14 +8,16 @@
 from figfold.core.quotas.holders import HolderChoice
 from figfold.core.quotas.ledger import QuotaLedger
 from figfold.core.quotas.limiter import INTERVAL_SLACK_S, QuotaLimiter
+from figfold.core.quotas.tolerance import Tolerance
 from figfold.entry.clock import now_s
 from figfold.wire.messages import QuotaReply
 
 INTERVAL_S = 0.25
 # Between two checks whether this region has to borrow, or to give back.
 REGION_INTERVAL_S = 0.125
-# Longest time that a request waits for tokens that the quota holder may have.
-ASK_WAIT_S = 0.15
+# Longest time that a request waits for tokens that the quota holder may have. The links of small
+# entries delay messages by the time of large answers, a tenth of a second each.
+ASK_WAIT_S = 0.4
 # Shortest time between two requests to the quota holder, for all callers that wait together.
 ASK_SPACING_S = 0.05
 # A reply that takes longer finds its leases half over.
@@ -54,7 +56,7 @@
     @classmethod
     def from_config(cls, settings, cluster, client, metrics, log, incarnation):
         """Return an exchange without limits, whose loop does not run."""
-        return cls(
+        exchange = cls(
             settings.name,
             settings.region,
             settings.region_by_place,
@@ -65,6 +67,14 @@
             QuotaLimiter.from_config(settings.name, incarnation),
             QuotaLedger.from_config(settings.name, incarnation),
         )
+        exchange.apply_settings(settings)
+        return exchange
+
+    def apply_settings(self, settings):
+        """Put new settings in force."""
+        self.limiter.tolerance = Tolerance(
+            settings.limit_window_s, settings.limit_overshoot, settings.limit_slack
+        )
 
     def apply_configuration(self, configuration):
         """Put the limits of a configuration in force, and run the loop if there are any."""
@@ -120,11 +130,14 @@
             while self._exchange_ended is not None:
                 self._exchange_ended.wait()
             self._asked = None
-            self._exchange(True)
+            self._exchange_once(True)
         finally:
             if self._asked is asked:
                 self._asked = None
             asked.send()
+        if self.limiter.is_reduced:
+            # The quota holder can lend the rest once it knows that the reply has arrived.
+            self._exchange_once(False)
 
     # Loop.
 
--- a/test/test_quotas.py
+++ b/test/test_quotas.py
@@ -11,6 +11,7 @@
 from figfold.core.quotas.holders import HolderChoice
 from figfold.core.quotas.limiter import ADMITTED, MAX_RETRY_AFTER_S, QuotaLimiter
 from figfold.core.quotas.limits import BASE_DELAY_S, DemandRate, bucket_size
+from figfold.core.quotas.tolerance import Tolerance
 from test.virtual_quotas import (
     OTHER_REGION_DELAY_S,
     WINDOW_S,
@@ -355,5 +356,43 @@
         self.assertIsNone(first.holder("r9", 0.0))
 
 
+class ToleranceTest(unittest.TestCase):
+    ENTRIES = 72
+
+    def parts(self, rate_per_s, burst):
+        tolerance = Tolerance(5.0, 0.1, 20.0)
+        organisation = Organisation("o", rate_per_s=rate_per_s, burst=burst)
+        names = [f"e{number}" for number in range(self.ENTRIES)]
+        return sum(tolerance.entry_part(organisation, one, self.ENTRIES) for one in names)
+
+    # With the buckets and the limit, all entries together must stay below the tolerated number.
+    def test_parts_of_all_entries_stay_below_what_is_tolerated(self):
+        for rate, burst in ((0.5, 0.0), (3.2, 3.2), (28.0, 28.0), (130.0, 130.0), (492.0, 492.0)):
+            organisation = Organisation("o", rate_per_s=rate, burst=burst)
+            most = (5.0 * rate + burst) * 1.1 + 20.0
+            used = 5.0 * rate + bucket_size(organisation) + self.parts(rate, burst)
+            self.assertLessEqual(used, most, (rate, burst))
+
+    def test_no_tolerance_admits_nothing_beyond_the_shares(self):
+        organisation = Organisation("o", rate_per_s=100.0, burst=100.0)
+        self.assertEqual(Tolerance().entry_part(organisation, "e1", 1), 0)
+
+    # A process that was killed and restarted would use its part twice in one window.
+    def test_part_is_used_once_in_a_window_and_not_just_after_a_start(self):
+        organisation = Organisation("o", rate_per_s=1.0, burst=10.0)
+        limiter = QuotaLimiter.from_config("e1", 1)
+        limiter.tolerance = Tolerance(5.0, 0.0, 30.0)
+        limiter.apply_limits({"o": organisation}, 0.0)
+        limiter.set_entry_count(10**6, True, 0.0)
+        limiter.entry_count = 20
+        start_s = BASE_DELAY_S + 5.0
+        self.assertFalse(limiter.try_acquire(organisation, start_s - 0.5).is_admitted)
+        times_s = [start_s + number / 10 for number in range(160)]
+        admitted_s = [one for one in times_s if limiter.try_acquire(organisation, one).is_admitted]
+        own_tokens = 0.05 * 16.0 + 0.5
+        self.assertLessEqual(len(admitted_s), 4 + own_tokens)
+        self.assertGreaterEqual(len(admitted_s), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
