--- a/test/test_platform_adapter.py
+++ b/test/test_platform_adapter.py
@@ -85,6 +85,7 @@
     def test_retry_ratio_is_read_in_the_form_that_the_platform_writes(self):
         template = (ROOT / "deploy" / "entry.ini").read_text(encoding="utf-8")
         text = template.replace("{{bounds.retryBudgetRatio}}", "0.15")
+        text = text.replace("{{bounds.quotaOvershoot}}", "0.1")
         text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "[place a]\nregion = r", text, flags=re.S)
         text = re.sub(r"\{\{[#/][^}]*\}\}\n", "", text)
         text = text.replace("{{zone}}", "a").replace("{{nodeName}}", "n")
