Answer a request that may have run with 502 when its key is withdrawn

A read of which an earlier attempt may have run, and whose key was withdrawn before the next one, got 401, as if it had not run.

--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -205,11 +205,8 @@
 
 
 def _status(failure):
-    status = HTTP_STATUS_BY_CODE.get(failure.code)
-    if status is not None:
-        return status
     if failure.is_not_run:
-        return NOT_RUN_STATUS
+        return HTTP_STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
     return TIMEOUT_STATUS if failure.code is Code.SERVER_TIMEOUT else FAILED_STATUS
 
 
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 from unittest.mock import Mock, patch
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from loguru import logger
@@ -32,9 +33,10 @@
 from figfold.core.traffic.splitting import ServiceSplitter
 from figfold.entry.clock import use_clock
 from figfold.entry.metrics import Metrics
+from figfold.gateway.apps import _status
 from figfold.gateway.cluster_view import ClusterView
 from figfold.gateway.request_runner import RequestRunner
-from figfold.gateway.requests import GatewayRequest
+from figfold.gateway.requests import GatewayRequest, RequestFailure
 from figfold.gateway.store_reader import StoreReader
 from figfold.gateway.store_sync import StoreSync
 from figfold.platform.decoding import StoredRow, decode_configuration
@@ -349,6 +351,21 @@
         refusal = self.serve(step=lambda _run: self.read({"acme": {"apiKeys": []}}, version=8))
         self.assertIs(refusal.code, Code.UNKNOWN_API_KEY)
 
+    # A caller of an open route would have been told that its key is unknown, and not come back.
+    def test_key_that_is_unconfirmed_before_a_send_on_an_open_route_may_come_back(self):
+        self.read({"acme": {"apiKeys": [KEY]}}, allowAnonymous=True)
+
+        def suspend(_run):
+            self.clock.now_s += 2 * BOUND_S
+
+        self.assertIs(self.serve(step=suspend).code, Code.KEYS_UNCONFIRMED)
+
+    # The status for an unknown key tells a caller that its request was not run.
+    def test_request_that_may_have_run_is_not_answered_as_unknown_key(self):
+        unknown = RequestFailure(Code.UNKNOWN_API_KEY, True, "no-server")
+        self.assertEqual(_status(unknown), "401 Unauthorized")
+        self.assertEqual(_status(evolve(unknown, is_not_run=False)), "502 Bad Gateway")
+
     # The key would then stand for an organisation that its server was not told of.
     def test_key_that_moved_to_another_organisation_is_not_sent_again(self):
         self.read({"acme": {"apiKeys": [KEY]}})
