Tell where shares of limits can add up to more than one

Since a process uses its base share 1 s after its start, its predecessor's may still be lent for about a second, and tolerated requests use the same slack. Words only; no behaviour changes.

--- a/figfold/core/quotas/limiter.py
+++ b/figfold/core/quotas/limiter.py
@@ -1,8 +1,9 @@
 """An entry's side of the limits: admits requests by the shares that it owns or has been leased.
 
-Tokens never exceed share times size of the bucket, and the shares of all entries never add up to
-more than one. So the requests that all entries admit within ``w`` seconds are at most the size of
-the bucket and ``w`` times the rate.
+Tokens never exceed share times size of the bucket. The shares of all entries add up to one at
+most, except for about a second after processes were restarted while their quota holder still runs.
+Otherwise, the requests that all entries admit within ``w`` seconds are at most the size of the
+bucket and ``w`` times the rate, and what is tolerated on top.
 """
 
 from collections import deque
--- a/figfold/core/quotas/limits.py
+++ b/figfold/core/quotas/limits.py
@@ -13,7 +13,7 @@
 REGION_LEASE_S = 1.4
 # Time after its registration from which a process uses its base share. Its predecessor may have
 # delegated the same share to a quota holder that still runs, for up to a second longer: then both
-# use it, which the bound on requests leaves room for. After a restart of all processes no quota
+# use it. After a restart of all processes no quota
 # holder remains, and a longer delay would refuse all requests.
 BASE_DELAY_S = 1.0
 # Smallest size of a limit's buckets together: requests, and seconds of the limit's rate. The share
