--- a/review/common2.py
+++ b/review/common2.py
@@ -274,7 +274,7 @@
         return 200, self._version_and_time()
 
 
-def make_configuration(version, routes, limits=None):
+def make_configuration(version, routes, limits=None, tenants=None):
     """Return the value of the operator's row; each route overrides the common fields."""
     common = {
         "host": HOST,
@@ -285,7 +285,8 @@
         "timeoutS": 6.0,
     }
     services = {route["service"] for route in routes.values()}
-    return {
+    others = {} if tenants is None else {"tenants": tenants}
+    return others | {
         "version": f"r{version}",
         "routes": {name: common | route for name, route in routes.items()},
         "services": {name: {"coldPerS": 20.0, "maxConnections": 360} for name in services},
@@ -316,7 +317,8 @@
         self.answer = answer or plain_answer
         self.address = ""
         self.run_s_by_id = {}
-        self.paths_by_id = {}
+        self.lines_by_id = {}
+        self.fields_by_id = {}
         self.record = None
         self._sequence = 0
         self._running = 0
@@ -357,7 +359,8 @@
         body = await read_body(reader, field_by_name)
         self._running += 1
         self.run_s_by_id.setdefault(request_id, []).append(time.monotonic())
-        self.paths_by_id.setdefault(request_id, []).append(line)
+        self.lines_by_id.setdefault(request_id, []).append(line)
+        self.fields_by_id.setdefault(request_id, []).append(field_by_name)
         if self.record is not None:
             self.record.add(f"run    {request_id} at {self.name}: {line}")
         try:
@@ -527,7 +530,7 @@
         self._hosts += 1
         return f"{self._network}.{self._hosts}"
 
-    async def start(self, configuration, servers, zones):
+    async def start(self, configuration, servers, zones, bounds=None):
         """Start the store, the servers, and one entry in each of the zones; wait for all."""
         await self.store.start(self.free_host())
         self.store.put("op", "config", configuration)
@@ -536,7 +539,7 @@
             await server.start(self.free_host(), self.store)
             self.servers.append(server)
         for number, zone in enumerate(zones):
-            self.add_entry(f"frontend-{zone}-{number}", zone)
+            self.add_entry(f"frontend-{zone}-{number}", zone, bounds)
         for entry in self.entries:
             await entry.wait_ready()
         # Entries learn of each other.
