Refuse answers that have a line in their head that is no field

What callers saw: 200 with the server's seal. A line whose name holds a blank, a control byte or a byte above 127, that has no colon or name, or a value with a carriage return or NUL ended the head. A length behind it was lost, and what came until the connection ended was the body, the sizes of chunks included. On a kept connection the request ended at its time limit instead, or the answer passed with the line in it.

Cause: the lines of a head were checked for completeness only and left to the library's parser, which stops at the first line that it cannot read. Interim answers were skipped without a look. Heads of requests are checked by is_field_line.

Fix: _HeadLines checks each line of a head, final or interim, by the same function. No line is dropped, so nothing is left to guess. It serves backend servers, other entries, the store, probes and commands, which all read through this class.

--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -6,7 +6,6 @@
     BadStatusLine,
     HTTPException,
     HTTPResponse,
-    LineTooLong,
     RemoteDisconnected,
 )
 
@@ -15,7 +14,10 @@
 from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
-from figfold.core.http_framing import parse_status_line
+from figfold.core.http_framing import (
+    is_field_line,
+    parse_status_line,
+)
 
 # The most bytes that are read up to the end of an answer's head, with interim answers.
 HEAD_LIMIT_BYTES = 256 * 1024
@@ -89,11 +91,15 @@
     """An answer ended within its head."""
 
 
+class MalformedAnswerError(HTTPException):
+    """An answer is not of the form that HTTP prescribes."""
+
+
 class _HeadLines:
-    """Lines of an answer's head; one that is cut short raises `IncompleteHeadError`.
+    """Lines of an answer's head, which have to be complete, and field lines after the first.
 
-    The library takes the end of the connection for the end of the head, so that an answer of which
-    the length is missing would pass for one with an empty body.
+    The library takes the end of the connection, and a line that it cannot parse, for the end of the
+    head. The fields behind it would be lost, among them the length of the body.
     """
 
     def __init__(self, file):
@@ -101,6 +107,28 @@
         self._has_read = False
 
     def readline(self, limit):
+        """Read a field line, or the empty one that ends the head.
+
+        Raises
+        ------
+        IncompleteHeadError
+            If the answer ends within the line or before it.
+        MalformedAnswerError
+            If it is neither.
+        """
+        line = self.read_any_line(limit)
+        if not is_field_line(line) and line not in EMPTY_LINES:
+            raise MalformedAnswerError(f"malformed header line: {line[:40]!r}")
+        return line
+
+    def read_any_line(self, limit):
+        """Read a line, whatever it holds; nothing if the connection is closed without an answer.
+
+        Raises
+        ------
+        IncompleteHeadError
+            If the answer ends within the line or before it.
+        """
         line = self._file.readline(limit)
         # Nothing at all is a closed connection, which the library tells apart.
         if (line or self._has_read) and len(line) < limit and not line.endswith(b"\n"):
@@ -113,7 +141,7 @@
 
 
 class _Response(HTTPResponse):
-    """Response whose head has to be complete, with a status line of the exact form.
+    """Response whose head has to be complete and of the exact form.
 
     The library takes any number from 100 to 999 after any white space for a status, and all interim
     answers but 100 for final ones.
@@ -130,7 +158,7 @@
 
     def _read_status(self):
         while True:
-            line = self.fp.readline(LINE_LIMIT_BYTES)
+            line = self.fp.read_any_line(LINE_LIMIT_BYTES)
             if not line:
                 raise RemoteDisconnected("connection closed without an answer")
             status_line = parse_status_line(line)
@@ -138,9 +166,8 @@
                 raise BadStatusLine(repr(line[:40]))
             if not status_line.is_interim:
                 return status_line.version, status_line.status, status_line.reason
-            while (line := self.fp.readline(LINE_LIMIT_BYTES)) not in EMPTY_LINES:
-                if not line.endswith(b"\n"):
-                    raise LineTooLong("header line of an interim answer")
+            while self.fp.readline(LINE_LIMIT_BYTES) not in EMPTY_LINES:
+                pass
 
 
 class AnswerConnection(HTTPConnection):
--- /dev/null
+++ b/standins/broken_answers.py
@@ -0,0 +1,155 @@
+"""Answers that RFC 9110 and 9112 do not allow, made from the fields and the body of a sound one."""
+
+from itertools import product
+
+from attrs import field, frozen
+
+CHUNK_BYTES = 7
+STATUS_LINE = b"HTTP/1.1 200 OK"
+INTERIM_STATUS_LINE = b"HTTP/1.1 103 Early Hints"
+LENGTH = b"Content-Length"
+CHUNKED = b"Transfer-Encoding: chunked"
+
+# Lines of a head that are no field lines.
+BAD_LINE_BY_KIND = {
+    "blank in the name": b"Instance Load: 1",
+    "tab in the name": b"Instance\tLoad: 1",
+    "control byte in the name": b"Instance\x01Load: 1",
+    "NUL in the name": b"Instance\x00Load: 1",
+    "DEL in the name": b"Instance\x7fLoad: 1",
+    "byte above 127 in the name": b"Instance\xe9Load: 1",
+    "delimiter in the name": b"Instance(Load): 1",
+    "quote in the name": b'"Instance-Load": 1',
+    "blank before the colon": b"Instance-Load : 1",
+    "tab before the colon": b"Instance-Load\t: 1",
+    "no colon": b"Instance-Load 1",
+    "no name": b": 1",
+    "folded line": b" Instance-Load: 1",
+    "blanks only": b"  ",
+    "line of a mailbox": b"From a b",
+    "CR in the value": b"Instance-Load: 1\rX-A: b",
+    "CR for the end of the line": b"Instance-Load: 1\r",
+    "CR in the name": b"Instance\rLoad: 1",
+    "NUL in the value": b"Instance-Load: 1\x00",
+    "control byte in the value": b"Instance-Load: 1\x0b2",
+    "DEL in the value": b"Instance-Load: 1\x7f",
+}
+FRAMINGS = ("length", "chunks")
+# What is done to the line that frames the body.
+DAMAGE_BY_KIND = {
+    "framing with a blank for the hyphen": lambda line: line.replace(b"-", b" "),
+    "framing with a control byte for the hyphen": lambda line: line.replace(b"-", b"\x01"),
+    "framing with a blank before the colon": lambda line: line.replace(b":", b" :"),
+    "framing with a blank for the colon": lambda line: line.replace(b":", b" "),
+    "framing with NUL for the colon": lambda line: line.replace(b":", b"\x00"),
+    "framing after a blank": lambda line: b" " + line,
+    "framing with CR before the value": lambda line: line.replace(b": ", b":\r"),
+    "framing with NUL before the value": lambda line: line.replace(b": ", b": \x00"),
+    "framing with DEL after the value": lambda line: line + b"\x7f",
+}
+# Lines before a chunk of n bytes.
+CHUNK_SIZE_LINE = "{n:x}\r\n"
+
+
+@frozen
+class BrokenAnswer:
+    """What a faulty backend server sends in place of an answer.
+
+    Attributes
+    ----------
+    kind : str
+        What is wrong with it.
+    content : bytes
+        All that is sent.
+    closes : bool
+        Whether the server closes the connection afterwards.
+    """
+
+    kind: str
+    content: bytes = field(repr=False)
+    closes: bool = False
+
+    @classmethod
+    def from_lines(cls, kind, lines, content, closes, interim_lines=()):
+        """Return an answer with these lines in its head, without their ends, and this content.
+
+        With ``interim_lines``, an interim answer with these comes before it.
+        """
+        interim = _format_head([INTERIM_STATUS_LINE, *interim_lines]) if interim_lines else b""
+        closing = [b"Connection: close"] if closes else []
+        head = _format_head([STATUS_LINE, *closing, *lines])
+        return cls(kind, interim + head + content, closes)
+
+
+def make_bad_lines(fields, body):
+    """Return answers of which one line of the head is no field line.
+
+    Parameters
+    ----------
+    fields : list[bytes]
+        Lines of the head, without their ends, that do not frame the body.
+
+    Returns
+    -------
+    list[BrokenAnswer]
+        For each line, each framing and each place of it, one that leaves the connection open and
+        one that closes it.
+    """
+    answers = []
+    for framing, closes in product(FRAMINGS, (False, True)):
+        framed, content = _frame(framing, body)
+        for kind, line in BAD_LINE_BY_KIND.items():
+            for place, lines in (
+                ("first", [line, *fields, framed]),
+                ("before the framing", [*fields, line, framed]),
+                ("after the framing", [*fields, framed, line]),
+            ):
+                name = f"{kind}, {place}, {framing}"
+                answers.append(BrokenAnswer.from_lines(name, lines, content, closes))
+            name = f"{kind}, interim, {framing}"
+            lines = [*fields, framed]
+            answers.append(BrokenAnswer.from_lines(name, lines, content, closes, [line]))
+        for kind, damage in DAMAGE_BY_KIND.items():
+            name = f"{kind}, {framing}"
+            lines = [*fields, damage(framed)]
+            answers.append(BrokenAnswer.from_lines(name, lines, content, closes))
+    return answers
+
+
+def pick_answer(make_answers, number):
+    """Return a function of the fields and the body that returns one of the answers."""
+
+    def make_broken(fields, body):
+        answers = make_answers(fields, body)
+        return answers[number % len(answers)]
+
+    return make_broken
+
+
+def _format_head(lines):
+    return b"".join(line + b"\r\n" for line in lines) + b"\r\n"
+
+
+def _frame(framing, body):
+    """Return the line that frames a body, and the body in that framing."""
+    if framing == "length":
+        return LENGTH + b": %d" % len(body), body
+    return CHUNKED, _format_chunks(body)
+
+
+def _format_chunks(body, line=CHUNK_SIZE_LINE, end=b"\r\n", last=CHUNK_SIZE_LINE, trailer=b""):
+    """Return a body in chunks.
+
+    Parameters
+    ----------
+    line, last : str
+        Line before each chunk of ``n`` bytes, and before the last one, which has none.
+    end : bytes
+        What follows the data of each chunk.
+    trailer : bytes
+        Lines behind the last chunk, with their ends.
+    """
+    chunks = [body[at : at + CHUNK_BYTES] for at in range(0, len(body), CHUNK_BYTES)]
+    sizes = [line.format(n=len(chunk)).encode("latin-1") for chunk in chunks]
+    data = b"".join(size + chunk + end for size, chunk in zip(sizes, chunks, strict=True))
+    return data + last.format(n=0).encode("latin-1") + trailer + b"\r\n"
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -3,6 +3,7 @@
 import socket
 import time
 from collections import Counter, OrderedDict
+from collections.abc import Callable
 
 import eventlet
 from attrs import define, field, frozen
@@ -47,6 +48,9 @@
         ``late-refusal`` sends a refusal without an id before the response to the next request on
         the connection; ``misdirected-twice`` names the request in its answer that another server
         was meant, and writes that answer again before the response to the next request.
+    make_broken : callable or None
+        ``(fields, body)``, returns the `BrokenAnswer` that is sent in place of a sound one; None
+        for sound answers. Another fault goes before it.
     error_status : str
         Status line of the failure with which it answers requests that it has run; empty for none.
     registered_address : str
@@ -80,6 +84,7 @@
     queue_limit: int | None = None
     cold_start_s: float = 0.0
     fault: str = ""
+    make_broken: Callable | None = None
     error_status: str = ""
     registered_address: str = ""
     announces_leaving: bool = False
@@ -186,31 +191,45 @@
                 self.cancelled += 1
                 return False
         answer = f"{self.id} {line} {len(body)}".encode()
-        response_headers = {
+        if self.make_broken is not None and not self.fault:
+            return self._send_broken(sock, request_id, answer)
+        response_headers = self._headers(request_id) | self._state_notices(request_id)
+        if self.fault in ("cut-head", "reset", "cut"):
+            self._break_off(sock, response_headers, answer)
+            return False
+        stays_open = _send(sock, self.error_status or "200 OK", response_headers, answer)
+        if self.fault == "late-refusal":
+            self._refused.add(sock)
+        if self.fault == "extra":
+            _send(sock, "200 OK", response_headers | {"Attempt-Id": "other"}, b"extra")
+        return stays_open
+
+    def _headers(self, request_id):
+        return {
             "Attempt-Id": "other" if self.fault == "foreign" else request_id,
             "Response-Seal": f"seal-{self.id}",
             "Instance-Load": f"{self._running},{self._waiting},{self.slots},100",
-        } | self._state_notices(request_id)
+        }
+
+    def _send_broken(self, sock, request_id, answer):
+        # It states no notices, since nobody is told what stands in it.
+        headers = self._headers(request_id)
+        fields = [f"{name}: {value}".encode() for name, value in headers.items()]
+        broken = self.make_broken(fields, answer)
+        sock.sendall(broken.content)
+        return not broken.closes
+
+    def _break_off(self, sock, headers, answer):
         if self.fault == "cut-head":
-            sock.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\n".encode())
+            sock.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers['Attempt-Id']}\r\n".encode())
             sock.sendall(b"Response-Seal: x\r\nContent-Le")
-            return False
-        if self.fault == "reset":
-            reset_connection(sock)
-            return False
+            return
         if self.fault == "cut":
             # Without a Content-Length, the response ends where the connection is closed.
-            text = "".join(f"{name}: {value}\r\n" for name, value in response_headers.items())
+            text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
             sock.sendall(f"HTTP/1.1 200 OK\r\n{text}\r\n".encode() + answer[:5])
             eventlet.sleep(0.05)
-            reset_connection(sock)
-            return False
-        stays_open = _send(sock, self.error_status or "200 OK", response_headers, answer)
-        if self.fault == "late-refusal":
-            self._refused.add(sock)
-        if self.fault == "extra":
-            _send(sock, "200 OK", response_headers | {"Attempt-Id": "other"}, b"extra")
-        return stays_open
+        reset_connection(sock)
 
     def _state_notices(self, request_id):
         """Record what a response states about the server, and return it as headers."""
