Refuse answers whose length or coding is not valid, for all readers

What callers saw: 200 with the server's seal for an answer whose length is no number in decimal digits. On a connection that closes, all that had come was the body, so that a cut answer passed for complete; on a kept one, some forms were read as a number.

Cause: the library takes a length that it cannot read for none, and int() takes signs, blanks and separators. Only codings and lengths that differ were checked, and only for backend servers and other entries; the store's client, probes and commands took those too.

They are checked where the head is read, for all readers. Two cases stay as they were, since RFC 9112, 6.3, lets a recipient go on: equal lengths, and a length beside chunks, both of which have to be valid now. Chunks in HTTP/1.0, in an interim answer and in a 204 are refused, which that RFC does not allow.

The table of test_http_framing keeps its rows; the function has another name and takes the status line too.

--- a/figfold/core/http_framing.py
+++ b/figfold/core/http_framing.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+HTTP_NO_CONTENT = 204
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_IMPLEMENTED = 501
 CHUNKED = "chunked"
@@ -100,11 +101,27 @@
     return HTTP_NOT_IMPLEMENTED, "transfer coding is not known"
 
 
-def is_answer_framed(codings, lengths):
-    """Return whether the end of an answer can be found for certain.
+def find_answer_framing_fault(status_line, codings, lengths):
+    """Return why the end of an answer cannot be found for certain, or None.
 
-    An answer without either field ends with its connection. A length beside chunks does not count.
+    The rules are those of `find_framing_fault`, except where RFC 9112, 6.3, lets the recipient of
+    an answer go on: equal lengths count as one, and a length beside chunks does not count. An
+    answer without either field ends with its connection.
+
+    Parameters
+    ----------
+    status_line : StatusLine
+    codings, lengths : list[str]
+        Values of all lines ``Transfer-Encoding`` and ``Content-Length``.
+
+    Returns
+    -------
+    str or None
     """
-    if codings:
-        return [one.strip(WHITE_SPACE).lower() for one in codings] == [CHUNKED]
-    return len(set(lengths)) <= 1
+    if len(set(lengths)) > 1:
+        return "Content-Length with different values"
+    if codings and (status_line.is_interim or status_line.status == HTTP_NO_CONTENT):
+        return f"Transfer-Encoding with status {status_line.status}"
+    fault = find_framing_fault(status_line.version, (), lengths[:1])
+    fault = fault or find_framing_fault(status_line.version, codings, ())
+    return None if fault is None else fault[1]
--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -15,6 +15,7 @@
 from urllib3.connection import HTTPConnection
 
 from figfold.core.http_framing import (
+    find_answer_framing_fault,
     is_field_line,
     parse_status_line,
 )
@@ -24,6 +25,7 @@
 # The longest status line, and header line of an interim answer.
 LINE_LIMIT_BYTES = 64 * 1024
 EMPTY_LINES = (b"\r\n", b"\n")
+FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
 # Bytes read from one socket after which other green threads may run.
 YIELD_BYTES = 64 * 1024
 
@@ -141,13 +143,22 @@
 
 
 class _Response(HTTPResponse):
-    """Response whose head has to be complete and of the exact form.
+    """Response whose head has to be complete and of the exact form, and tells where it ends.
 
-    The library takes any number from 100 to 999 after any white space for a status, and all interim
-    answers but 100 for final ones.
+    The library takes any number from 100 to 999 after any white space for a status, all interim
+    answers but 100 for final ones, and a length that it cannot read for none.
     """
 
+    _status_line = None
+
     def begin(self):
+        """Read the head.
+
+        Raises
+        ------
+        HTTPException
+            If it is not that of an answer whose end is certain.
+        """
         file, self.fp = self.fp, _HeadLines(self.fp)
         try:
             super().begin()
@@ -155,6 +166,8 @@
             # The library drops the file when it closes the connection.
             if self.fp is not None:
                 self.fp = file
+        codings, lengths = (self.headers.get_all(name, []) for name in FRAMING_FIELDS)
+        _check_framing(self._status_line, codings, lengths)
 
     def _read_status(self):
         while True:
@@ -165,9 +178,23 @@
             if status_line is None:
                 raise BadStatusLine(repr(line[:40]))
             if not status_line.is_interim:
+                self._status_line = status_line
                 return status_line.version, status_line.status, status_line.reason
-            while self.fp.readline(LINE_LIMIT_BYTES) not in EMPTY_LINES:
-                pass
+            self._skip_interim_fields(status_line)
+
+    def _skip_interim_fields(self, status_line):
+        values_by_name = {name.lower(): [] for name in FRAMING_FIELDS}
+        while (line := self.fp.readline(LINE_LIMIT_BYTES)) not in EMPTY_LINES:
+            name, _, value = line.decode("latin-1").rstrip("\r\n").partition(":")
+            if name.lower() in values_by_name:
+                values_by_name[name.lower()].append(value)
+        _check_framing(status_line, *values_by_name.values())
+
+
+def _check_framing(status_line, codings, lengths):
+    fault = find_answer_framing_fault(status_line, codings, lengths)
+    if fault is not None:
+        raise MalformedAnswerError(fault)
 
 
 class AnswerConnection(HTTPConnection):
--- a/figfold/entry/connections.py
+++ b/figfold/entry/connections.py
@@ -18,7 +18,6 @@
 from urllib3.exceptions import HTTPError, IncompleteRead
 
 from figfold.core.codes import Code
-from figfold.core.http_framing import is_answer_framed
 from figfold.entry.answer_connection import AnswerConnection, IncompleteHeadError
 from figfold.entry.answer_memory import AnswerMemory, AnswerMemoryError, HeldMemory
 from figfold.entry.clock import MS_PER_S, now_s
@@ -39,7 +38,6 @@
 COPIES = 2
 # The most bytes that the framing of an unsized answer may add, with its trailers.
 FRAMING_LIMIT_BYTES = 256 * 1024
-FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -213,9 +211,6 @@
         )
         sock = connection.sock
         response = connection.getresponse()
-        codings, lengths = (response.headers.getlist(name) for name in FRAMING_FIELDS)
-        if not is_answer_framed(codings, lengths):
-            raise ValueError("the end of the answer is not certain")
         length = _content_length(response)
         # A sized answer is streamed to the caller and needs no limit.
         sock.allowed_bytes = (
@@ -330,10 +325,11 @@
 
 def _content_length(response):
     """Return the Content-Length, or None without one; it is ignored in a chunked answer."""
-    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+    if "Transfer-Encoding" in response.headers:
         return None
-    value = response.headers.get("Content-Length", "")
-    return int(value) if value.isdigit() else None
+    # There may be several equal ones.
+    lengths = response.headers.getlist("Content-Length")
+    return int(lengths[0]) if lengths else None
 
 
 def _code_of(error):
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -47,6 +47,11 @@
     "framing with NUL before the value": lambda line: line.replace(b": ", b": \x00"),
     "framing with DEL after the value": lambda line: line + b"\x7f",
 }
+# Values of Content-Length; {n} is the true one.
+BAD_LENGTHS = (
+    *("", "x", "{n}x", "2x0", "+{n}", "-{n}", "0x{n}", "1_0", "{n}.0", "{n} {n}", "{n}, {n}"),
+    *("{n};", '"{n}"', "1e1", "\xa0{n}", "\xb2"),
+)
 # Lines before a chunk of n bytes.
 CHUNK_SIZE_LINE = "{n:x}\r\n"
 
@@ -116,6 +121,33 @@
     return answers
 
 
+def make_bad_framing(fields, body):
+    """Return answers whose framing fields do not tell where the answer ends.
+
+    Parameters and return value are those of `make_bad_lines`.
+    """
+    length, _ = _frame("length", body)
+    _, chunks = _frame("chunks", body)
+    bad = [LENGTH + b": " + value.format(n=len(body)).encode("latin-1") for value in BAD_LENGTHS]
+    heads = [(line[:40].decode("latin-1"), [line], body, ()) for line in bad]
+    heads += [(f"{line[:40]!r} beside chunks", [line, CHUNKED], chunks, ()) for line in bad]
+    heads += [(f"{line[:40]!r} in an interim answer", [length], body, [line]) for line in bad]
+    heads += [
+        ("two lengths", [length, LENGTH + b": 1"], body, ()),
+        ("two lengths beside chunks", [length, LENGTH + b": 1", CHUNKED], chunks, ()),
+        ("chunks in an interim answer", [length], body, [CHUNKED]),
+    ]
+    for coding in (b"", b"identity", b"gzip", b"gzip, chunked", b"chunked, chunked", b"xchunked"):
+        line = b"Transfer-Encoding: " + coding
+        heads.append((f"coding {coding!r}", [line], chunks, ()))
+        heads.append((f"coding {coding!r} and a length", [line, length], body, ()))
+    heads.append(("chunks and another coding", [CHUNKED, CHUNKED], chunks, ()))
+    return [
+        BrokenAnswer.from_lines(kind, [*fields, *lines], content, closes, interim)
+        for (kind, lines, content, interim), closes in product(heads, (False, True))
+    ]
+
+
 def pick_answer(make_answers, number):
     """Return a function of the fields and the body that returns one of the answers."""
 
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -16,6 +16,7 @@
 from figfold.ui.admin_client import request_entry
 from figfold.ui.platform_status import fetch_metrics
 from standins.broken_answers import (
+    make_bad_framing,
     make_bad_lines,
     pick_answer,
 )
@@ -156,6 +157,14 @@
     def test_line_that_is_no_field_for_the_store_probes_and_commands(self):
         self.check_refused_elsewhere(make_bad_lines)
 
+    # A length that could not be read counted as none, so that a cut answer passed for complete.
+    def test_framing_that_is_not_certain(self):
+        self.check_refused(make_bad_framing(FIELDS, BODY))
+
+    # The store and probes read a body in another coding, or with two lengths.
+    def test_framing_that_is_not_certain_for_the_store_probes_and_commands(self):
+        self.check_refused_elsewhere(make_bad_framing)
+
 
 class CallersTest(unittest.TestCase):
     """What callers of an entry get from servers that send such answers."""
@@ -201,6 +210,10 @@
     def test_line_that_is_no_field(self):
         self.check(make_bad_lines)
 
+    # Callers got 200 with the seal, and with the part of the body that had come.
+    def test_framing_that_is_not_certain(self):
+        self.check(make_bad_framing)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_http_framing.py
+++ b/test/test_http_framing.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from figfold.core.codes import Code
-from figfold.core.http_framing import is_answer_framed, is_field_line
+from figfold.core.http_framing import StatusLine, find_answer_framing_fault, is_field_line
 from figfold.core.traffic.configuration import CallerLimits
 from figfold.entry.metrics import Metrics
 from figfold.gateway.apps import RequestApp
@@ -35,6 +35,10 @@
     "http://h/a",
     "*",
 )
+BAD_LENGTHS = (
+    *("", "2x0", "+5", "-5", "5 5", "5, 5", "5,", "0x5", "1_0", "5.0", "1e1", "5;", '"5"'),
+    *("\u0665", "\u00b2", "\x0b5", "\xa05", "five"),
+)
 INNER = b"POST /book/2 HTTP/1.1\r\nHost: h\r\nAttempt-Id: inner\r\nContent-Length: 0\r\n\r\n"
 LAST = b"GET /read/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: last\r\nConnection: close\r\n\r\n"
 CODINGS = st.sampled_from(
@@ -203,9 +207,29 @@
             (["gzip, chunked"], [], False),
             (["chunked", "chunked"], [], False),
             (["identity"], ["5"], False),
+            (["chunked"], ["5", "6"], False),
+            (["chunked"], ["x"], False),
+            ([""], [], False),
+            ([], [" 0005\t"], True),
+            *(([], [length], False) for length in BAD_LENGTHS),
+            *(([], [length] * 2, False) for length in BAD_LENGTHS),
         ):
             with self.subTest(codings=codings, lengths=lengths):
-                self.assertEqual(is_answer_framed(codings, lengths), expected)
+                fault = find_answer_framing_fault(StatusLine("HTTP/1.1", 200, ""), codings, lengths)
+                self.assertEqual(fault is None, expected, fault)
+
+    def test_versions_and_statuses_that_have_no_codings(self):
+        for version, status, codings, expected in (
+            ("HTTP/1.0", 200, ["chunked"], False),
+            ("HTTP/1.0", 200, [], True),
+            ("HTTP/1.1", 204, ["chunked"], False),
+            ("HTTP/1.1", 103, ["chunked"], False),
+            ("HTTP/1.1", 304, ["chunked"], True),
+            ("HTTP/1.1", 204, [], True),
+        ):
+            with self.subTest(version=version, status=status, codings=codings):
+                fault = find_answer_framing_fault(StatusLine(version, status, ""), codings, [])
+                self.assertEqual(fault is None, expected, fault)
 
 
 if __name__ == "__main__":
