Read chunks and lengths as they were checked, not as the library reads them

What readers saw: an answer with "Transfer-Encoding: chunked" and white space behind it, which HTTP allows, had the sizes of its chunks in its body. A length of more digits than the interpreter converts counted as none for the store's client, and a 304 that names chunks was not complete before its time limit.

Cause: two readers of one field. Framing was checked without the white space, and then read by the library with it.

Fix: what has been checked sets the framing of the response. Nothing of the library's own reading is left.

--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from http import HTTPStatus
 from http.client import (
     BadStatusLine,
     HTTPException,
@@ -26,6 +27,7 @@
 LINE_LIMIT_BYTES = 64 * 1024
 EMPTY_LINES = (b"\r\n", b"\n")
 FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
+STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 # Bytes read from one socket after which other green threads may run.
 YIELD_BYTES = 64 * 1024
 
@@ -158,6 +160,8 @@
         ------
         HTTPException
             If it is not that of an answer whose end is certain.
+        ValueError
+            If the length has more digits than the interpreter converts.
         """
         file, self.fp = self.fp, _HeadLines(self.fp)
         try:
@@ -168,6 +172,20 @@
                 self.fp = file
         codings, lengths = (self.headers.get_all(name, []) for name in FRAMING_FIELDS)
         _check_framing(self._status_line, codings, lengths)
+        self._set_framing(codings, lengths)
+
+    def _set_framing(self, codings, lengths):
+        """Replace what the library has read of the valid fields that frame the body.
+
+        The library ignores a coding with white space behind it and a length that is too large to
+        convert, and expects chunks after heads that have no body.
+        """
+        if self._method == "HEAD" or self.status in STATUSES_WITHOUT_BODY:
+            self.chunked, self.length = False, 0
+        else:
+            self.chunked, self.chunk_left = bool(codings), None
+            self.length = int(lengths[0]) if lengths and not codings else None
+        self.will_close = self._check_close() or (not self.chunked and self.length is None)
 
     def _read_status(self):
         while True:
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -52,6 +52,8 @@
     *("", "x", "{n}x", "2x0", "+{n}", "-{n}", "0x{n}", "1_0", "{n}.0", "{n} {n}", "{n}, {n}"),
     *("{n};", '"{n}"', "1e1", "\xa0{n}", "\xb2"),
 )
+# More digits than the interpreter converts by default.
+LONG_LENGTH = LENGTH + b": " + b"9" * 5000
 # Lines before a chunk of n bytes.
 CHUNK_SIZE_LINE = "{n:x}\r\n"
 
@@ -86,6 +88,12 @@
         return cls(kind, interim + head + content, closes)
 
 
+def make_sound_answers(fields, body):
+    """Return the bytes of two sound answers, with a length and with chunks."""
+    framed = [_frame(framing, body) for framing in FRAMINGS]
+    return [_format_head([STATUS_LINE, *fields, line]) + content for line, content in framed]
+
+
 def make_bad_lines(fields, body):
     """Return answers of which one line of the head is no field line.
 
@@ -133,6 +141,7 @@
     heads += [(f"{line[:40]!r} beside chunks", [line, CHUNKED], chunks, ()) for line in bad]
     heads += [(f"{line[:40]!r} in an interim answer", [length], body, [line]) for line in bad]
     heads += [
+        ("length of 5000 digits", [LONG_LENGTH], body, ()),
         ("two lengths", [length, LENGTH + b": 1"], body, ()),
         ("two lengths beside chunks", [length, LENGTH + b": 1", CHUNKED], chunks, ()),
         ("chunks in an interim answer", [length], body, [CHUNKED]),
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -18,6 +18,7 @@
 from standins.broken_answers import (
     make_bad_framing,
     make_bad_lines,
+    make_sound_answers,
     pick_answer,
 )
 
@@ -149,6 +150,36 @@
                     self.assertEqual(len(answer.headers), len(head) - 1)
                     self.assertTrue(is_open)
 
+    # White space behind the coding made the sizes of chunks part of the body, and an answer without
+    # a body was not complete before its chunks had come.
+    def test_sound_framing_is_read(self):
+        length, chunks = make_sound_answers(FIELDS, BODY)
+        no_body = b"HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for content, method, body, stays_open in (
+            (length, "GET", BODY, True),
+            (length.replace(b"Length: ", b"Length:\t"), "GET", BODY, True),
+            (length.replace(b"Length: ", b"Length: 000"), "GET", BODY, True),
+            (chunks, "GET", BODY, True),
+            (chunks.replace(b"chunked", b"Chunked \t"), "GET", BODY, True),
+            (chunks.replace(b"chunked", b"\tchunked"), "GET", BODY, True),
+            (chunks.replace(b"chunked", b"chunked\r\nContent-Length: 5"), "GET", BODY, True),
+            (chunks.partition(b"\r\n\r\n")[0] + b"\r\n\r\n", "HEAD", b"", True),
+            (chunks.replace(b"\r\n0\r", b"\r\n000\r"), "GET", BODY, True),
+            (chunks.replace(b"\r\n0\r", b'\r\n0 ; a = "\\";\xe9" ;b\r'), "GET", BODY, True),
+            (chunks.replace(b"\r\n7\r", b"\r\n007;a=b;c\r"), "GET", BODY, True),
+            (chunks.replace(b"\r\n0\r\n", b"\r\n0\r\nX-A: b\r\nX-B:\r\n"), "GET", BODY, True),
+            (no_body, "GET", b"", True),
+            (b"HTTP/1.1 204 X\r\n\r\n", "GET", b"", True),
+            (b"HTTP/1.1 200 OK\r\n\r\n" + BODY, "GET", BODY, False),
+            (b"HTTP/1.0 200 OK\r\n\r\n" + BODY, "GET", BODY, False),
+        ):
+            with self.subTest(content=content, method=method):
+                server = Server(content, closes=not stays_open)
+                self.addCleanup(server.stop)
+                result, is_open = self.exchange(server, method)
+                self.assertEqual(result.unwrap().body, body)
+                self.assertEqual(is_open, stays_open)
+
     # A head ended at such a line for the library: a length behind it was lost, and what came until
     # the connection ended was the body, the sizes of chunks included.
     def test_line_that_is_no_field(self):
