Refuse answers that end within the lines of their chunks

What callers saw: 200 with a part of the body, framed as whole. The answer had ended among the leading zeros of a chunk's size, within the last size or before the end of its trailers.

Cause: the library takes what came before the end of the connection for the whole line, so that "0" of "" is the last chunk, and takes the end of the connection for the end of the trailers.

Fix: a line of the framing of chunks that is cut short is an incomplete answer, as data that are cut short were already.

Evidence: an answer in chunks with sizes of eight digits that is cut at each of its 274 bytes. Answers that end before their Content-Length were refused already; they keep their tests.

--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -7,6 +7,7 @@
     BadStatusLine,
     HTTPException,
     HTTPResponse,
+    IncompleteRead,
     RemoteDisconnected,
 )
 
@@ -23,7 +24,7 @@
 
 # The most bytes that are read up to the end of an answer's head, with interim answers.
 HEAD_LIMIT_BYTES = 256 * 1024
-# The longest status line, and header line of an interim answer.
+# The longest status line, header line of an interim answer, and line of the framing of chunks.
 LINE_LIMIT_BYTES = 64 * 1024
 EMPTY_LINES = (b"\r\n", b"\n")
 FRAMING_FIELDS = ("Transfer-Encoding", "Content-Length")
@@ -145,10 +146,11 @@
 
 
 class _Response(HTTPResponse):
-    """Response whose head has to be complete and of the exact form, and tells where it ends.
+    """Response whose head and chunks have to be complete and of the exact form.
 
     The library takes any number from 100 to 999 after any white space for a status, all interim
-    answers but 100 for final ones, and a length that it cannot read for none.
+    answers but 100 for final ones, a length that it cannot read for none, and a size that is cut
+    off for that of a chunk.
     """
 
     _status_line = None
@@ -187,6 +189,21 @@
             self.length = int(lengths[0]) if lengths and not codings else None
         self.will_close = self._check_close() or (not self.chunked and self.length is None)
 
+    def _read_next_chunk_size(self):
+        return int(self._read_chunk_line().partition(b";")[0], 16)
+
+    def _read_and_discard_trailer(self):
+        while self._read_chunk_line() not in EMPTY_LINES:
+            pass
+
+    def _read_chunk_line(self):
+        """Read a line before a chunk or a trailer."""
+        line = self.fp.readline(LINE_LIMIT_BYTES)
+        if len(line) < LINE_LIMIT_BYTES and not line.endswith(b"\n"):
+            # The first zeros of a size could pass for that of the last chunk.
+            raise IncompleteRead(line)
+        return line
+
     def _read_status(self):
         while True:
             line = self.fp.read_any_line(LINE_LIMIT_BYTES)
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -157,6 +157,31 @@
     ]
 
 
+def make_cut_chunks(fields, body):
+    """Return answers that end, with their connection, anywhere behind their head.
+
+    Parameters and return value are those of `make_bad_lines`. Sizes have leading zeros, each of
+    which could be that of the last chunk.
+    """
+    content = _format_chunks(body, "{n:08x}\r\n", trailer=b"X-A: b\r\n")
+    return [
+        BrokenAnswer.from_lines(f"cut at {size}", [*fields, CHUNKED], content[:size], True)
+        for size in range(len(content))
+    ]
+
+
+def make_cut_lengths(fields, body):
+    """Return answers with a length that end, with their connection, before it is reached.
+
+    Parameters and return value are those of `make_bad_lines`.
+    """
+    line, content = _frame("length", body)
+    return [
+        BrokenAnswer.from_lines(f"cut at {size}", [*fields, line], content[:size], True)
+        for size in range(len(content))
+    ]
+
+
 def pick_answer(make_answers, number):
     """Return a function of the fields and the body that returns one of the answers."""
 
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -18,6 +18,8 @@
 from standins.broken_answers import (
     make_bad_framing,
     make_bad_lines,
+    make_cut_chunks,
+    make_cut_lengths,
     make_sound_answers,
     pick_answer,
 )
@@ -196,6 +198,20 @@
     def test_framing_that_is_not_certain_for_the_store_probes_and_commands(self):
         self.check_refused_elsewhere(make_bad_framing)
 
+    # A size that was cut off among its zeros passed for that of the last chunk, and the end of the
+    # connection for the end of the trailers.
+    def test_answer_that_ends_within_its_chunks(self):
+        self.check_refused(make_cut_chunks(FIELDS, BODY))
+
+    def test_answer_that_ends_within_its_chunks_for_the_store_probes_and_commands(self):
+        self.check_refused_elsewhere(make_cut_chunks)
+
+    def test_answer_that_ends_before_its_length(self):
+        self.check_refused(make_cut_lengths(FIELDS, BODY))
+
+    def test_answer_that_ends_before_its_length_for_the_store_probes_and_commands(self):
+        self.check_refused_elsewhere(make_cut_lengths)
+
 
 class CallersTest(unittest.TestCase):
     """What callers of an entry get from servers that send such answers."""
@@ -245,6 +261,9 @@
     def test_framing_that_is_not_certain(self):
         self.check(make_bad_framing)
 
+    def test_answer_that_ends_within_its_chunks(self):
+        self.check(make_cut_chunks)
+
 
 if __name__ == "__main__":
     unittest.main()
