Refuse answers with a malformed size or end of a chunk

What callers saw: 200 for answers whose sizes of chunks have signs, prefixes, separators or white space, and for chunks whose data are followed by any two bytes, all of which can hide that data were lost.

Cause: the library reads a size with int(text, 16), which takes all these, and drops the two bytes behind the data without a look.

Fix: parse_chunk_size, beside the other rules on framing, takes hexadecimal digits, well-formed extensions and CRLF only, and the end of a chunk has to be CRLF.

Sizes with leading zeros and with extensions are read as before.

--- a/figfold/core/http_framing.py
+++ b/figfold/core/http_framing.py
@@ -12,9 +12,18 @@
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_IMPLEMENTED = 501
 CHUNKED = "chunked"
+# What follows the data of a chunk.
+CHUNK_END = b"\r\n"
+TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 # A name, a colon and a value without control characters other than tabs.
-FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n")
+FIELD_LINE = re.compile(TOKEN + rb":[^\x00-\x08\x0a-\x1f\x7f]*\r?\n")
 LENGTH = re.compile("[0-9]+")
+# A size and its extensions (RFC 9112, 7.1); white space may stand around their separators only.
+QUOTED_STRING = rb'"(?:[\t !#-\[\]-~\x80-\xff]|\\[\t -~\x80-\xff])*"'
+CHUNK_EXTENSION = (
+    rb"[ \t]*;[ \t]*" + TOKEN + rb"(?:[ \t]*=[ \t]*(?:" + TOKEN + rb"|" + QUOTED_STRING + rb"))?"
+)
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:" + CHUNK_EXTENSION + rb")*\r\n")
 # The space before an empty reason may be missing (RFC 9112, 4).
 STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([0-9]{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r?\n")
 # No request asks for another protocol, so that an answer that switches to one is a fault.
@@ -68,6 +77,15 @@
     return FIELD_LINE.fullmatch(line) is not None
 
 
+def parse_chunk_size(line):
+    """Return the size in the bytes of the line before a chunk with its end, or None if not valid.
+
+    Chunk extensions count for nothing, but have to be well formed.
+    """
+    match = CHUNK_LINE.fullmatch(line)
+    return None if match is None else int(match[1], 16)
+
+
 def find_framing_fault(version, codings, lengths):
     """Return why the end of a request cannot be found for certain, or None.
 
--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -17,8 +17,10 @@
 from urllib3.connection import HTTPConnection
 
 from figfold.core.http_framing import (
+    CHUNK_END,
     find_answer_framing_fault,
     is_field_line,
+    parse_chunk_size,
     parse_status_line,
 )
 
@@ -149,8 +151,8 @@
     """Response whose head and chunks have to be complete and of the exact form.
 
     The library takes any number from 100 to 999 after any white space for a status, all interim
-    answers but 100 for final ones, a length that it cannot read for none, and a size that is cut
-    off for that of a chunk.
+    answers but 100 for final ones, a length that it cannot read for none, and any number that the
+    language knows, also one that is cut off, for the size of a chunk.
     """
 
     _status_line = None
@@ -189,8 +191,23 @@
             self.length = int(lengths[0]) if lengths and not codings else None
         self.will_close = self._check_close() or (not self.chunked and self.length is None)
 
+    # The library calls the next three methods for the framing of chunks.
+
+    def _get_chunk_left(self):
+        if self.chunk_left == 0:
+            end = self._safe_read(len(CHUNK_END))
+            if end != CHUNK_END:
+                raise MalformedAnswerError(f"{end!r} behind the data of a chunk")
+            # The library reads no end before the first chunk.
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
     def _read_next_chunk_size(self):
-        return int(self._read_chunk_line().partition(b";")[0], 16)
+        line = self._read_chunk_line()
+        size = parse_chunk_size(line)
+        if size is None:
+            raise MalformedAnswerError(f"malformed size of a chunk: {line[:40]!r}")
+        return size
 
     def _read_and_discard_trailer(self):
         while self._read_chunk_line() not in EMPTY_LINES:
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -56,6 +56,17 @@
 LONG_LENGTH = LENGTH + b": " + b"9" * 5000
 # Lines before a chunk of n bytes.
 CHUNK_SIZE_LINE = "{n:x}\r\n"
+BAD_CHUNK_SIZES = tuple(
+    f"{size}\r\n"
+    for size in (
+        *("+{n:x}", "-{n:x}", "0x{n:x}", "0_{n:x}", "{n:x}x", "{n:x} ", " {n:x}", "{n:x}\t"),
+        *("\t{n:x}", "{n:x}\x0b", "\x0c{n:x}", "\x00{n:x}", "{n:x}\x00", "{n:x}\r", "{n:x} 0"),
+        *("", ";a=b", "{n:x};", "{n:x};a=", "{n:x};a b", "{n:x};a=\x01", "{n:x};a=b\x7f"),
+        *('{n:x};a="b', "{n:x}, 1", "{n:x}\xa0", "\xb2"),
+    )
+) + ("{n:x}\n",)
+# Bytes between the data of a chunk and the size of the next one.
+BAD_CHUNK_ENDS = (b"", b"\n", b"XY", b"\r\r", b"\n\n", b"\n\r", b"  ", b"X\r\n", b" \r\n")
 
 
 @frozen
@@ -157,6 +168,20 @@
     ]
 
 
+def make_bad_chunks(fields, body):
+    """Return answers with chunks whose size or end is malformed.
+
+    Parameters and return value are those of `make_bad_lines`.
+    """
+    contents = []
+    for line in BAD_CHUNK_SIZES:
+        contents.append((f"size {line!r}", _format_chunks(body, line)))
+        contents.append((f"last size {line!r}", _format_chunks(body, last=line)))
+    for end in BAD_CHUNK_ENDS:
+        contents.append((f"end {end!r}", _format_chunks(body, end=end)))
+    return _in_chunks(fields, contents)
+
+
 def make_cut_chunks(fields, body):
     """Return answers that end, with their connection, anywhere behind their head.
 
@@ -192,6 +217,13 @@
     return make_broken
 
 
+def _in_chunks(fields, contents):
+    return [
+        BrokenAnswer.from_lines(kind, [*fields, CHUNKED], content, closes)
+        for (kind, content), closes in product(contents, (False, True))
+    ]
+
+
 def _format_head(lines):
     return b"".join(line + b"\r\n" for line in lines) + b"\r\n"
 
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -16,6 +16,7 @@
 from figfold.ui.admin_client import request_entry
 from figfold.ui.platform_status import fetch_metrics
 from standins.broken_answers import (
+    make_bad_chunks,
     make_bad_framing,
     make_bad_lines,
     make_cut_chunks,
@@ -198,6 +199,18 @@
     def test_framing_that_is_not_certain_for_the_store_probes_and_commands(self):
         self.check_refused_elsewhere(make_bad_framing)
 
+    # Signs, prefixes, separators and white space passed for parts of a size, and any two bytes for
+    # the end of a chunk.
+    def test_malformed_chunks(self):
+        self.check_refused(make_bad_chunks(FIELDS, BODY))
+
+    def test_malformed_chunks_behind_the_bytes_that_are_buffered(self):
+        answers = make_bad_chunks(FIELDS, BODY * (2 * BUFFER_BYTES // len(BODY)))
+        self.check_refused([one for one in answers if one.kind.startswith("last size")][::8])
+
+    def test_malformed_chunks_for_the_store_probes_and_commands(self):
+        self.check_refused_elsewhere(make_bad_chunks)
+
     # A size that was cut off among its zeros passed for that of the last chunk, and the end of the
     # connection for the end of the trailers.
     def test_answer_that_ends_within_its_chunks(self):
@@ -261,6 +274,9 @@
     def test_framing_that_is_not_certain(self):
         self.check(make_bad_framing)
 
+    def test_malformed_chunks(self):
+        self.check(make_bad_chunks)
+
     def test_answer_that_ends_within_its_chunks(self):
         self.check(make_cut_chunks)
 
