Refuse answers with a trailer that is no field line

What callers saw: 200 for an answer in chunks with a trailer that has a control byte, a blank in its name or no colon.

Cause: trailers are field lines (RFC 9112, 7.1.2), and the library skips to the first empty line whatever stands there.

Fix: trailers are checked by is_field_line, like the lines of a head.

--- a/figfold/entry/answer_connection.py
+++ b/figfold/entry/answer_connection.py
@@ -210,8 +210,9 @@
         return size
 
     def _read_and_discard_trailer(self):
-        while self._read_chunk_line() not in EMPTY_LINES:
-            pass
+        while (line := self._read_chunk_line()) not in EMPTY_LINES:
+            if not is_field_line(line):
+                raise MalformedAnswerError(f"malformed trailer: {line[:40]!r}")
 
     def _read_chunk_line(self):
         """Read a line before a chunk or a trailer."""
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -207,6 +207,19 @@
     ]
 
 
+def make_bad_trailers(fields, body):
+    """Return answers in chunks of which a trailer is no field line.
+
+    Parameters and return value are those of `make_bad_lines`.
+    """
+    contents = [
+        (f"trailer with {kind}", _format_chunks(body, trailer=before + line + b"\r\n"))
+        for kind, line in BAD_LINE_BY_KIND.items()
+        for before in (b"", b"X-A: b\r\n")
+    ]
+    return _in_chunks(fields, contents)
+
+
 def pick_answer(make_answers, number):
     """Return a function of the fields and the body that returns one of the answers."""
 
--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -19,6 +19,7 @@
     make_bad_chunks,
     make_bad_framing,
     make_bad_lines,
+    make_bad_trailers,
     make_cut_chunks,
     make_cut_lengths,
     make_sound_answers,
@@ -225,6 +226,12 @@
     def test_answer_that_ends_before_its_length_for_the_store_probes_and_commands(self):
         self.check_refused_elsewhere(make_cut_lengths)
 
+    def test_malformed_trailers(self):
+        self.check_refused(make_bad_trailers(FIELDS, BODY))
+
+    def test_malformed_trailers_for_the_store_probes_and_commands(self):
+        self.check_refused_elsewhere(make_bad_trailers)
+
 
 class CallersTest(unittest.TestCase):
     """What callers of an entry get from servers that send such answers."""
@@ -280,6 +287,9 @@
     def test_answer_that_ends_within_its_chunks(self):
         self.check(make_cut_chunks)
 
+    def test_malformed_trailers(self):
+        self.check(make_bad_trailers)
+
 
 if __name__ == "__main__":
     unittest.main()
