Refuse requests whose chunks are malformed or cut short, by the same rules

The cause of the faults in answers, found in what callers send: the library that reads requests takes the same sizes, any line for the end of a chunk, and the end of the connection for the end of the trailers. A booking that broke off among the zeros of a size ran with a part of its body. Behind a malformed size, what followed was read as a request of its own and ran.

Fix: _ChunkLines checks each line of the framing with parse_chunk_size and is_field_line. Behind a malformed one nothing more is read: the request is refused with 400, and its connection ends.

Bodies with extensions, leading zeros and trailers arrive unchanged.

--- a/figfold/entry/http_protocol.py
+++ b/figfold/entry/http_protocol.py
@@ -10,10 +10,12 @@
 
 from figfold.core.codes import Code, Outcome
 from figfold.core.http_framing import (
+    CHUNK_END,
     HTTP_BAD_REQUEST,
     WHITE_SPACE,
     find_framing_fault,
     is_field_line,
+    parse_chunk_size,
 )
 from figfold.entry.answer_connection import YieldingSocket
 from figfold.entry.clock import now_s
@@ -28,6 +30,8 @@
 # Limits on the line before a chunk of a body, and on all lines after the last chunk.
 CHUNK_LINE_BYTES = 4 << 10
 TRAILER_BYTES = 64 << 10
+# The library's value of the length of the current chunk before the first one.
+NO_CHUNK_YET = -1
 # Lines of one body after which other green threads may run.
 YIELD_CHUNK_LINES = 500
 # Limits on reading the rest of a body that its application has refused. A caller that is still
@@ -131,11 +135,15 @@
 
 
 class _ChunkLines:
-    """Wraps the file of a request's body, of which the library reads lines of any length."""
+    """Wraps the file of a request's body, whose lines the library reads whatever they hold.
+
+    Only the lines between the data of chunks are read without a size.
+    """
 
     def __init__(self, file):
         self._file = file
         self._lines = 0
+        self._check = _check_size
         self.read = file.read
 
     def readline(self, size=None):
@@ -144,17 +152,44 @@
         Raises
         ------
         ChunkReadError
-            If the line is too long.
+            If the line is too long, malformed or cut short, or was read behind such a line.
         """
         self._lines += 1
         if self._lines % YIELD_CHUNK_LINES == 0:
             eventlet.sleep(0)
-        line = self._file.readline(CHUNK_LINE_BYTES if size is None else size)
-        if size is None and len(line) >= CHUNK_LINE_BYTES:
-            raise ChunkReadError("line of a chunk is too long")
+        if size is not None:
+            return self._file.readline(size)
+        line = self._file.readline(CHUNK_LINE_BYTES)
+        # What follows a malformed line could be taken for another request.
+        check, self._check = self._check, _refuse_line
+        self._check = check(line)
         return line
 
 
+def _check_size(line):
+    """Check the line before a chunk, and return the function that checks the next line."""
+    size = parse_chunk_size(line)
+    if size is None:
+        raise ChunkReadError("size of a chunk is malformed")
+    return _check_end if size else _check_trailer
+
+
+def _check_end(line):
+    if line != CHUNK_END:
+        raise ChunkReadError("end of a chunk is malformed")
+    return _check_size
+
+
+def _check_trailer(line):
+    if line not in EMPTY_LINES and not is_field_line(line):
+        raise ChunkReadError("trailer is malformed")
+    return _check_trailer
+
+
+def _refuse_line(_line):
+    raise ChunkReadError("the framing of the body is lost")
+
+
 class _LimitedInput(Input):
     """A request's body, of which no more is read than an application can have asked for.
 
@@ -168,11 +203,14 @@
     discard_until_s = None
 
     def _discard_trailers(self, rfile):
+        # Without their end the body is not complete, although the library has noted its last chunk.
+        self.chunk_length = NO_CHUNK_YET
         left_bytes = TRAILER_BYTES
-        while (line := rfile.readline()) not in (b"", b"\r\n", b"\n"):
+        while (line := rfile.readline()) not in EMPTY_LINES:
             left_bytes -= len(line)
             if left_bytes < 0:
                 raise ChunkReadError("trailers are too long")
+        self.chunk_length = 0
 
     def discard(self, buffer_size=DRAIN_CHUNK_BYTES):
         """Read what is left of the body, so that its caller gets the answer.
--- a/test/test_http_framing.py
+++ b/test/test_http_framing.py
@@ -20,6 +20,7 @@
 from figfold.gateway.listener import StoppableListener
 from figfold.gateway.protocol import make_gateway_protocol
 from figfold.gateway.requests import RequestFailure
+from standins.broken_answers import make_bad_chunks, make_bad_trailers, make_cut_chunks
 
 ANSWER_S = 5.0
 TARGETS = (
@@ -84,14 +85,19 @@
         self.headers.append(request.headers)
         return Err(RequestFailure(Code.NO_SERVER, True, "no-server"))
 
-    def send(self, lines, body):
-        """Send a booking with the lines and the body, and a read behind it; return the answers."""
+    def send(self, lines, body, closes=False):
+        """Send a booking with the lines and the body, and a read behind it; return the answers.
+
+        With ``closes``, nothing is sent behind the body.
+        """
         self.requests.clear()
         head = "".join(f"{line}\r\n" for line in ("Host: h", "Attempt-Id: outer", *lines))
-        data = b"POST /book/1 HTTP/1.1\r\n" + head.encode("latin-1") + b"\r\n" + body + LAST
+        data = b"POST /book/1 HTTP/1.1\r\n" + head.encode("latin-1") + b"\r\n" + body
         received = b""
         with green_socket.create_connection(self.address) as sock:
-            sock.sendall(data)
+            sock.sendall(data if closes else data + LAST)
+            if closes:
+                sock.shutdown(green_socket.SHUT_WR)
             with eventlet.Timeout(ANSWER_S):
                 try:
                     while part := sock.recv(65536):
@@ -133,6 +139,7 @@
         for lines, body in (
             (["Transfer-Encoding: chunked"], chunks),
             (["transfer-encoding:\tChunked "], chunks),
+            (["Transfer-Encoding: chunked"], b'0005 ; a = "b" ;c\r\nabcde\r\n000\r\n\r\n'),
             (["Content-Length: 5"], b"abcde"),
             (["content-length:5 \t"], b"abcde"),
         ):
@@ -140,6 +147,27 @@
                 self.send(lines, body)
                 self.assertEqual(self.requests, [("outer", b"abcde"), ("last", b"")])
 
+    # A size with a sign, a prefix or white space was taken, as was one that was cut off among its
+    # zeros, and any line for the end of a chunk.
+    def test_malformed_chunks_are_refused(self):
+        for make_answers in (make_bad_chunks, make_cut_chunks, make_bad_trailers):
+            for answer in make_answers([], b"body of a booking"):
+                _, _, chunks = answer.content.partition(b"\r\n\r\n")
+                with self.subTest(answer=answer):
+                    answers = self.send(
+                        ["Transfer-Encoding: chunked"], chunks, closes=answer.closes
+                    )
+                    self.assertEqual(self.requests, [])
+                    self.assertTrue(answers.startswith(b"HTTP/1.1 400 "), answers)
+                    self.assertEqual(answers.count(b"HTTP/1.1 "), 1)
+
+    # What follows a malformed chunk is never read as a request.
+    def test_no_request_is_read_behind_a_malformed_chunk(self):
+        for malformed in (b"zz\r\n", b"+0\r\n\r\n", b"1\r\nab\r\n", b"0\r\nno field\r\n"):
+            with self.subTest(malformed=malformed):
+                self.send(["Transfer-Encoding: chunked"], malformed + b"0\r\n\r\n" + INNER)
+                self.assertEqual(self.requests, [])
+
     def test_request_without_a_body_ends_with_its_head(self):
         self.send([], b"")
         self.assertEqual(self.requests, [("outer", b""), ("last", b"")])
