--- a/test/test_broken_answers.py
+++ b/test/test_broken_answers.py
@@ -25,10 +25,13 @@
     make_sound_answers,
     pick_answer,
 )
+from test.test_status_lines import Server
 
-LOOPBACK = "127.0.0.1"
 # Limit for an answer. One that is broken is refused as soon as its broken part has come.
 TIMEOUT_S = 1.0
+# How often, and how long each time, a server is given to see that its connection has ended.
+CLOSE_CHECKS = 20
+CLOSE_CHECK_S = 0.002
 BUFFER_BYTES = 64 * 1024
 FIELDS = [b"Attempt-Id: r1", b"Response-Seal: seal-1", b"Instance-Load: 1,0,3,100"]
 # A part without some of the line feeds is a JSON document as well.
@@ -39,42 +42,6 @@
 BROKEN_CODES = (Code.SERVER_BAD_ANSWER, Code.SERVER_SHORT_ANSWER)
 
 
-class Server:
-    """Sends the same bytes to each request, and may close the connection after them."""
-
-    def __init__(self, content, closes):
-        self.content = content
-        self.closes = closes
-        self.open_connections = 0
-        self.listener = eventlet.listen((LOOPBACK, 0))
-        self.address = f"{LOOPBACK}:{self.listener.getsockname()[1]}"
-        self.thread = eventlet.spawn(self._accept)
-
-    def _accept(self):
-        while True:
-            sock, _ = self.listener.accept()
-            eventlet.spawn_n(self._serve, sock)
-
-    def _serve(self, sock):
-        self.open_connections += 1
-        try:
-            while sock.recv(65536):
-                sock.sendall(self.content)
-                if self.closes:
-                    break
-        except OSError:
-            # The client has reset the connection.
-            pass
-        finally:
-            sock.close()
-            self.open_connections -= 1
-
-    def stop(self):
-        """Stop listening."""
-        self.thread.kill()
-        self.listener.close()
-
-
 class ReadersTest(unittest.TestCase):
     """Each reader of HTTP answers against a server that sends the bytes of the test."""
 
@@ -89,8 +56,11 @@
         body = b"x" if method == "POST" else b""
         request = (method, "/", (), body)
         result = self.connections.exchange(server.address, request, TIMEOUT_S)
-        eventlet.sleep(0.005)
-        return result, server.open_connections == 1
+        for _ in range(CLOSE_CHECKS):
+            eventlet.sleep(CLOSE_CHECK_S)
+            if server.closed:
+                return result, False
+        return result, True
 
     def check_refused(self, answers):
         """Check that no exchange takes one of the answers, and that its connection is closed."""
--- a/test/test_status_lines.py
+++ b/test/test_status_lines.py
@@ -89,10 +89,17 @@
 
 
 class Server:
-    """Answers each request with the same bytes, and counts connections that the client closed."""
+    """Answers each request with the same bytes, and counts connections that have ended.
 
-    def __init__(self, sent):
+    Attributes
+    ----------
+    closes : bool
+        Whether the server ends each connection after its first answer.
+    """
+
+    def __init__(self, sent, closes=False):
         self.sent = sent
+        self.closes = closes
         self.closed = 0
         self.listener = eventlet.listen((LOOPBACK, 0))
         self.address = f"{LOOPBACK}:{self.listener.getsockname()[1]}"
@@ -104,11 +111,23 @@
             eventlet.spawn_n(self._serve, sock)
 
     def _serve(self, sock):
-        with sock:
+        try:
             while sock.recv(65536):
                 sock.sendall(self.sent)
+                if self.closes:
+                    break
+        except OSError:
+            # The client has reset the connection.
+            pass
+        finally:
+            sock.close()
             self.closed += 1
 
+    def stop(self):
+        """Stop listening."""
+        self.thread.kill()
+        self.listener.close()
+
 
 class ReadersTest(unittest.TestCase):
     """Each reader of HTTP answers against a server that writes the bytes of the test."""
@@ -120,8 +139,7 @@
 
     def serve(self, sent):
         server = Server(sent)
-        self.addCleanup(server.listener.close)
-        self.addCleanup(server.thread.kill)
+        self.addCleanup(server.stop)
         return server
 
     def exchange(self, sent, method="GET", timeout_s=TIMEOUT_S):
