Send broken answers in the soak of processes, and check each success

Its servers now send answers of six classes that HTTP does not allow, and a success has to be the whole answer of a server that has not sent a broken one to this request. Refusals are counted by their code.

--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -220,6 +220,16 @@
     return _in_chunks(fields, contents)
 
 
+MAKERS = (
+    make_bad_lines,
+    make_bad_framing,
+    make_bad_chunks,
+    make_cut_chunks,
+    make_cut_lengths,
+    make_bad_trailers,
+)
+
+
 def pick_answer(make_answers, number):
     """Return a function of the fields and the body that returns one of the answers."""
 
--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -1,8 +1,8 @@
 """Seeded soak of real entries: servers leave while entries stop, end, restart and reload.
 
 Servers also announce in their answers that they leave, name limits, ask for pauses, are slow, write
-refusals twice and end within the head of an answer. Another writer leaves rows among theirs that
-name no server, and overwrites rows of servers that are up.
+refusals twice, end within the head of an answer and send answers that HTTP does not allow. Another
+writer leaves rows among theirs that name no server, and overwrites rows of servers that are up.
 
 Callers may belong to organisations, whose API keys are withdrawn while callers still use them. One
 organisation sends more than its limit.
@@ -12,9 +12,11 @@
 """
 
 import json
+import re
 import sys
 import time
-from collections import Counter
+from collections import Counter, defaultdict
+from functools import partial
 from math import inf
 from random import Random
 
@@ -24,6 +26,7 @@
 
 from bench.platform_demo import send_ahead
 from bench.platform_deployment import HOST, PlatformDeployment, ServiceServers, make_configuration
+from standins.broken_answers import MAKERS, pick_answer
 
 REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
 # Bounds of the platform's rules, in seconds.
@@ -109,6 +112,8 @@
         When the store accepted that a server leaves.
     announced : set[str]
         Servers that state in their answers that they leave.
+    broken_by_server : dict[str, Counter]
+        Number of broken answers of a server, by the id of the request.
     limit_spans : list[tuple[Endpoint, float, float, float]]
         Server, start, end and limit of each time for which a server names a limit.
     """
@@ -128,6 +133,7 @@
     ended_s_by_address: dict = Factory(dict)
     left_s_by_server: dict = Factory(dict)
     announced: set = Factory(set)
+    broken_by_server: dict = field(factory=partial(defaultdict, Counter))
     limit_spans: list = Factory(list)
     entry_options: dict = Factory(dict)
     calls: list = Factory(list)
@@ -196,6 +202,7 @@
         """Play the events at times that depend on the seed alone."""
         # Every run has these, at a time when callers have found their servers.
         first = [self._limit, self._pause, self._announce, self._write_all_odd_rows]
+        first += [self._send_broken] * 3
         after_s = 0.0
         while after_s < self.duration_s:
             eventlet.sleep(max(0.0, began_s + after_s - time.monotonic()))
@@ -218,6 +225,7 @@
             self._limit: 2,
             self._pause: 3,
             self._break_answers: 3,
+            self._send_broken: 4,
             self._slow_down: 2,
             self._write_odd_row: 6,
             self._remove_odd_row: 2,
@@ -288,6 +296,22 @@
             endpoint, self.random.choice(("shed-twice", "cut-head", "extra", "late-refusal")), 0.5
         )
 
+    def _send_broken(self):
+        """Make a server send answers for a while that HTTP does not allow."""
+        endpoint = max(self.random.sample(self._staying(), 3), key=lambda one: len(one.heads))
+        number = self.random.randrange(10_000)
+
+        def make_broken(fields, body):
+            # Their kinds take turns, so that a run has all of them.
+            make_answers = MAKERS[self.counts["broken answers"] % len(MAKERS)]
+            self.counts["broken answers"] += 1
+            request_id = fields[0].decode().removeprefix("Attempt-Id: ")
+            self.broken_by_server[endpoint.id][request_id] += 1
+            return pick_answer(make_answers, number)(fields, body)
+
+        endpoint.make_broken = make_broken
+        eventlet.spawn_after(0.5, setattr, endpoint, "make_broken", None)
+
     def _set_fault(self, endpoint, fault, duration_s):
         endpoint.fault = fault
         eventlet.spawn_after(duration_s, setattr, endpoint, "fault", "")
@@ -502,8 +526,10 @@
             response = connection.getresponse()
             body = response.read()
             status = response.status
-            if status == 200 and not body:
-                self.violations.append(f"{request_id} got an empty answer from {entry.name}")
+            if status in REFUSALS:
+                self.counts[f"code {json.loads(body)['code']}"] += 1
+            if status == 200 and not self._is_sound(request_id, f"{method} {path}", response, body):
+                self.violations.append(f"{request_id} got {body[:80]!r} from {entry.name}")
             is_open = not response.will_close
         except TimeoutError:
             self.violations.append(
@@ -517,6 +543,15 @@
         self.counts[status] += 1
         return is_open
 
+    def _is_sound(self, request_id, request, response, body):
+        """Return whether a success is what a server has answered, and no broken answer."""
+        server_id = response.headers.get("Response-Seal", "").removeprefix("seal-")
+        sent = re.escape(f"{server_id} {request} HTTP/1.1 ") + "[0-9]+"
+        if server_id not in self.deployment.endpoint_by_id or not re.fullmatch(sent, body.decode()):
+            return False
+        runs = self.deployment.endpoint_by_id[server_id].runs[request_id]
+        return runs > self.broken_by_server[server_id][request_id]
+
     def _watch_lookups(self):
         while time.monotonic() < self._ends_s:
             for name, entry in sorted(self.entry_by_name.items()):
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from standins.broken_answers import MAKERS
 from test import soak_leaving, soak_processes
 from test.virtual import run_virtual
 from test.virtual_gateway import VirtualFleet
@@ -241,6 +242,7 @@
         self.assertGreater(counts["terminate"], 0)
         for checked in ("ready asked", "limits checked", "pauses checked"):
             self.assertGreater(counts[checked], 0, (checked, dict(counts)))
+        self.assertGreaterEqual(counts["broken answers"], len(MAKERS), dict(counts))
 
     # Entries that were killed, restarted or cut off from the store admitted withdrawn keys, and
     # together more than the limit of an organisation.
