Keep a change that falls on the end of a feed's wait in the stand-in of the store

Cause: RowTables looked for changes before it waited and not after its timeout, and answered the rows from before the wait with the newest version. The product isn't at fault: its readers go by the version they get.

Change: the rows are looked up once more after the wait.

Measured: the test, which makes the change as the wait ends, got no rows with version 2 before, and gets the row after.

--- a/standins/rows.py
+++ b/standins/rows.py
@@ -147,8 +147,12 @@
             while not rows:
                 self._changed.wait()
                 if after > self.version:
-                    return 410, {}
+                    break
                 rows = self._changes_since(query["table"], after)
+        if after > self.version:
+            return 410, {}
+        # The version that is answered includes a change at the very end of the wait.
+        rows = rows or self._changes_since(query["table"], after)
         return 200, {"rows": rows} | self._version_and_time()
 
     def _changes_since(self, table, after):
--- a/test/test_standins.py
+++ b/test/test_standins.py
@@ -3,7 +3,9 @@
 import json
 import socket
 import unittest
+from types import SimpleNamespace
 
+import eventlet
 from attrs import frozen
 
 from bench.caller import Verdict, Work, classify_answer
@@ -11,6 +13,7 @@
 from standins.endpoint import Endpoint
 from standins.http_socket import HttpRequest
 from standins.links import Links
+from standins.rows import RowTables
 from standins.store import InstanceList
 from test.support import connect, exchange, start_standin, wait_until
 
@@ -330,5 +333,26 @@
         self.assertFalse(endpoint.heads)
 
 
+class RowFeedTest(unittest.TestCase):
+    def setUp(self):
+        self.rows = RowTables()
+        self.rows.put("op", "config", 1)
+
+    def feed(self, after):
+        query = {"table": "op", "after": after, "waitMs": 20}
+        return self.rows.answer("/rows-feed", query, b"")
+
+    # The answer had no rows and the newest version, so that its reader skipped the change for good.
+    def test_change_at_the_end_of_a_wait_is_not_lost(self):
+        def change_and_wait():
+            self.rows.put("op", "config", 2)
+            eventlet.sleep(1.0)
+
+        self.rows._changed = SimpleNamespace(wait=change_and_wait, send=lambda: None)
+        status, value = self.feed(after=1)
+        self.assertEqual((status, value["ver"]), (200, 2))
+        self.assertEqual([row["ver"] for row in value["rows"]], [2])
+
+
 if __name__ == "__main__":
     unittest.main()
