Tell readers that are behind the stand-in's history, as the store does

Cause: the history holds 1,000 changes and dropped the oldest without a note of it, so that a feed from before it answered the newest version without the rows that were dropped. Heartbeats of servers could push a change of the configuration out of it.

Change: a dropped change moves the version up to which the feed answers 410, upon which a reader reads the whole table.

--- a/standins/rows.py
+++ b/standins/rows.py
@@ -93,6 +93,8 @@
             self._journal.append((self.clock(), self.version, key, replaced))
         if not row.get("tombstone"):
             self.row_by_key[key] = row
+        if len(self.changes) == self.changes.maxlen:
+            self.dropped_until_version = self.changes[0]["ver"]
         self.changes.append(row)
         self._notify_change()
 
--- a/test/test_standins.py
+++ b/test/test_standins.py
@@ -13,7 +13,7 @@
 from standins.endpoint import Endpoint
 from standins.http_socket import HttpRequest
 from standins.links import Links
-from standins.rows import RowTables
+from standins.rows import HISTORY_ROWS, RowTables
 from standins.store import InstanceList
 from test.support import connect, exchange, start_standin, wait_until
 
@@ -353,6 +353,13 @@
         self.assertEqual((status, value["ver"]), (200, 2))
         self.assertEqual([row["ver"] for row in value["rows"]], [2])
 
+    # Heartbeats of servers push a change of the configuration out of the history.
+    def test_reader_that_is_behind_the_history_is_told(self):
+        for number in range(HISTORY_ROWS):
+            self.rows.put("servers", "s1", number)
+        self.assertEqual(self.feed(after=0)[0], 410)
+        self.assertEqual(self.feed(after=1)[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
