Refuse keys that cannot be confirmed on routes that allow anonymous callers

Cause: decide_access took each request on such a route for one without a key where keys could not be confirmed.

Change: only a request without a key passes before the question whether keys are confirmed; with a key it gets 503 and Retry-After on each route. A caller without a key is served as before, at any time. On a closed route it gets 503 as before, since a later configuration may have opened the route. The metric keys_confirmed said 1 as soon as one route was open; it tells the truth now.

test_open_routes_go_on_while_keys_are_unconfirmed expected the fault for a request with a key. Two tests take its place, which also check the request without one.

--- a/figfold/core/organisations/access.py
+++ b/figfold/core/organisations/access.py
@@ -47,9 +47,10 @@
     """
     if not configuration.has_organisations:
         return ANONYMOUS
+    if not digest and route.allows_anonymous:
+        return ANONYMOUS
     if not are_keys_confirmed:
-        is_open = route.allows_anonymous
-        return ANONYMOUS if is_open else AccessDecision(Access.UNCONFIRMED_KEYS)
+        return AccessDecision(Access.UNCONFIRMED_KEYS)
     organisation = configuration.organisation_of(digest)
     if organisation is None and not route.allows_anonymous:
         return AccessDecision(Access.UNKNOWN_KEY)
--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -379,13 +379,19 @@
         return self.cluster.entry_addresses(place, region, without)
 
     def _serves_keys(self):
-        """Return whether this entry is of use to callers with API keys, if there are any."""
+        """Return whether this entry is of use to callers, as far as API keys are concerned."""
+        configuration = self.cluster.configuration
+        if configuration is not None and configuration.has_anonymous_routes:
+            return True
+        return self._confirms_keys()
+
+    def _confirms_keys(self):
+        """Return whether requests with API keys are not refused as unconfirmed."""
         configuration = self.cluster.configuration
         if configuration is None or not configuration.has_organisations:
             return True
-        age_s = self.cluster.operator_age_s(now_s())
-        return configuration.has_anonymous_routes or are_keys_confirmed(
-            age_s, self.settings.revocation_bound_s
+        return are_keys_confirmed(
+            self.cluster.operator_age_s(now_s()), self.settings.revocation_bound_s
         )
 
     def _serve(self, address, app, protocol):
@@ -526,7 +532,7 @@
                     {},
                     len(configuration.organisation_by_name) if configuration else 0,
                 ),
-                ("keys_confirmed", {}, int(self._serves_keys())),
+                ("keys_confirmed", {}, int(self._confirms_keys())),
                 ("store_era", {}, self.store_reader.eras.era),
                 ("quota_borrowers", {}, self.quota_exchange.ledger.borrower_count),
                 ("live_entries", {}, len(self.cluster.live_entry_places())),
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -35,6 +35,7 @@
 from figfold.entry.metrics import Metrics
 from figfold.gateway.apps import _status
 from figfold.gateway.cluster_view import ClusterView
+from figfold.gateway.process import GatewayProcess
 from figfold.gateway.request_runner import RequestRunner
 from figfold.gateway.requests import GatewayRequest, RequestFailure
 from figfold.gateway.store_reader import StoreReader
@@ -204,11 +205,16 @@
             self.assertEqual(self.access(digest), (Access.UNKNOWN_KEY, None))
             self.assertEqual(self.access(digest, is_open=True), (Access.ALLOWED, None))
 
-    def test_open_routes_go_on_while_keys_are_unconfirmed(self):
-        digest = key_digest(KEY)
+    def test_open_routes_go_on_without_a_key_while_keys_are_unconfirmed(self):
         expected = (Access.UNCONFIRMED_KEYS, None)
-        self.assertEqual(self.access(digest, is_confirmed=False), expected)
-        self.assertEqual(self.access(digest, True, is_confirmed=False), (Access.ALLOWED, None))
+        self.assertEqual(self.access("", is_confirmed=False), expected)
+        self.assertEqual(self.access("", True, is_confirmed=False), (Access.ALLOWED, None))
+
+    # The request of an organisation ran as that of a caller without a key.
+    def test_unconfirmed_key_is_refused_on_every_route(self):
+        expected = (Access.UNCONFIRMED_KEYS, None)
+        for is_open in (False, True):
+            self.assertEqual(self.access(key_digest(KEY), is_open, is_confirmed=False), expected)
 
     def test_no_bound_confirms_keys_of_any_age(self):
         self.assertTrue(are_keys_confirmed(1e6, 0.0))
@@ -392,6 +398,12 @@
         self.clock.now_s += 0.1
         self.assert_refuses_keys()
 
+    def test_entry_that_is_cut_off_serves_an_open_route_without_a_key_only(self):
+        self.read({"acme": {"apiKeys": [KEY]}}, version=8, allowAnonymous=True)
+        self.clock.now_s += 2 * BOUND_S
+        self.assert_refuses_keys()
+        self.assertIsNone(self.serve("")[0])
+
     # Suspension for 6 s: requests that were sent meanwhile wait in the entry's sockets.
     def test_entry_that_was_frozen_refuses_until_it_has_read_again(self):
         self.clock.now_s += 6.0
@@ -465,6 +477,18 @@
         far = self.make_view({"e1": "a1", "e3": "b1"})
         self.assertEqual(far.entry_addresses("a1", "a", without="e1"), ["e3"])
 
+    # The metric told operators that keys were confirmed wherever one route was open.
+    def test_open_route_keeps_an_entry_in_look_ups_and_confirms_no_key(self):
+        cluster = self.make_view({})
+        process = SimpleNamespace(
+            cluster=cluster, settings=SimpleNamespace(revocation_bound_s=BOUND_S)
+        )
+        process._confirms_keys = lambda: GatewayProcess._confirms_keys(process)
+        for is_open in (False, True):
+            cluster.configuration = decode({"acme": {"apiKeys": [KEY]}}, allowAnonymous=is_open)
+            self.assertFalse(process._confirms_keys())
+            self.assertEqual(GatewayProcess._serves_keys(process), is_open)
+
 
 class LogTest(unittest.TestCase):
     # The log library can add the values of variables to the traceback of an exception.
