Refuse keys that no organisation holds on routes that allow anonymous callers

The server got no Tenant.

Cause: decide_access refused such a key only where the route needs one, and took the request for one without a key elsewhere. The check before each further send gave a withdrawn key on such a route the code for "may come back" (503).

Change: a key that is sent has to be held by one organisation on every route, else the answer is 401, at arrival and before each further send. Whoever sends no key needs none on such a route, as before. This works because a request with a key is no longer taken for one without at any step.

Two tests expected the fault: test_unknown_or_missing_key_... and test_caller_on_an_open_route_... Their replacements check callers without a key as before, and that unknown and withdrawn keys are refused.

--- a/figfold/core/organisations/access.py
+++ b/figfold/core/organisations/access.py
@@ -36,6 +36,8 @@
 def decide_access(configuration, route, digest, are_keys_confirmed):
     """Return the `AccessDecision` for a request.
 
+    A route that allows anonymous callers needs no key, but a key that is sent has to be in force.
+
     Parameters
     ----------
     configuration : Configuration
@@ -52,7 +54,7 @@
     if not are_keys_confirmed:
         return AccessDecision(Access.UNCONFIRMED_KEYS)
     organisation = configuration.organisation_of(digest)
-    if organisation is None and not route.allows_anonymous:
+    if organisation is None:
         return AccessDecision(Access.UNKNOWN_KEY)
     return AccessDecision(Access.ALLOWED, organisation)
 
--- a/figfold/core/traffic/configuration.py
+++ b/figfold/core/traffic/configuration.py
@@ -46,7 +46,8 @@
     home_regions : frozenset[str]
         The only regions in which the requests may run; empty if all are allowed.
     allows_anonymous : bool
-        Whether callers need no API key, where organisations are configured.
+        Whether callers need no API key, where organisations are configured. A key that is sent is
+        checked all the same.
     """
 
     name: str
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -248,8 +248,7 @@
         held_by = decision.organisation
         if held_by is not None and held_by.name == self.organisation.name:
             return True
-        # On a route that allows anonymous callers, the request may come back as one.
-        is_unconfirmed = decision.access is Access.UNCONFIRMED_KEYS or self.route.allows_anonymous
+        is_unconfirmed = decision.access is Access.UNCONFIRMED_KEYS
         self.last_code = Code.KEYS_UNCONFIRMED if is_unconfirmed else Code.UNKNOWN_API_KEY
         self._log("key-withdrawn", code=int(self.last_code))
         return False
--- a/test/test_key_processes.py
+++ b/test/test_key_processes.py
@@ -76,6 +76,16 @@
                         told = {} if organisation is None else {"tenant": organisation}
                         self.assertEqual(self.ask(entry, path, fields), (status, told))
 
+    # Such requests ran as those of callers without a key wherever the route was open.
+    def test_keys_that_are_withdrawn_moved_or_unknown(self):
+        refused, as_club = [(401, None)] * 2, [(200, "club")] * 2
+        without_key = [(401, None), (200, None)]
+        self.check({(KEY,): as_club, (): without_key, ("",): without_key, (UNKNOWN_KEY,): refused})
+        self.change({"club": {"apiKeys": [KEPT_KEY]}, "other": {"apiKeys": []}})
+        self.check({(KEY,): refused, (OTHER_KEY,): refused, (KEPT_KEY,): as_club, (): without_key})
+        self.change({"club": {"apiKeys": []}, "other": {"apiKeys": [KEPT_KEY]}})
+        self.check({(KEPT_KEY,): [(200, "other")] * 2, (): without_key})
+
     # The requests of an organisation ran as those of callers without a key.
     def test_keys_that_cannot_be_confirmed(self):
         self.deployment.rows.is_down = True
@@ -85,7 +95,7 @@
         self.check({(KEY,): unconfirmed, (UNKNOWN_KEY,): unconfirmed, (): without_key})
         self.deployment.rows.is_down = False
         eventlet.sleep(IN_FORCE_S)
-        self.check({(KEY,): [(200, "club")] * 2})
+        self.check({(KEY,): [(200, "club")] * 2, (UNKNOWN_KEY,): [(401, None)] * 2})
 
 
 if __name__ == "__main__":
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -200,10 +200,16 @@
         self.assertEqual(self.access(key_digest(KEY)), (Access.ALLOWED, "acme"))
         self.assertEqual(self.access(key_digest(KEY), is_open=True), (Access.ALLOWED, "acme"))
 
-    def test_unknown_or_missing_key_is_refused_unless_the_route_is_open(self):
-        for digest in ("", key_digest("unknown")):
-            self.assertEqual(self.access(digest), (Access.UNKNOWN_KEY, None))
-            self.assertEqual(self.access(digest, is_open=True), (Access.ALLOWED, None))
+    def test_missing_key_is_refused_unless_the_route_is_open(self):
+        self.assertEqual(self.access(""), (Access.UNKNOWN_KEY, None))
+        self.assertEqual(self.access("", is_open=True), (Access.ALLOWED, None))
+
+    # A key that was withdrawn, or never known, went on working on open routes.
+    def test_unknown_key_is_refused_on_every_route(self):
+        for is_open in (False, True):
+            self.assertEqual(
+                self.access(key_digest("unknown"), is_open), (Access.UNKNOWN_KEY, None)
+            )
 
     def test_open_routes_go_on_without_a_key_while_keys_are_unconfirmed(self):
         expected = (Access.UNCONFIRMED_KEYS, None)
@@ -336,7 +342,17 @@
 
     def test_caller_on_an_open_route_names_no_organisation(self):
         self.read({"acme": {"apiKeys": [KEY]}}, allowAnonymous=True)
-        self.assertIsNone(self.serve("unknown")[0])
+        self.assertIsNone(self.serve("")[0])
+        self.assertIs(self.serve("unknown").code, Code.UNKNOWN_API_KEY)
+
+    # It ran on an open route as that of a caller without a key, for as long as its caller liked.
+    def test_withdrawn_key_is_refused_on_an_open_route(self):
+        self.read({"acme": {"apiKeys": [KEY]}}, allowAnonymous=True)
+        self.assertEqual(self.serve()[0], "acme")
+        withdrawn = {"acme": {"apiKeys": []}}
+        refusal = self.serve(step=lambda _run: self.read(withdrawn, version=8, allowAnonymous=True))
+        self.assertIs(refusal.code, Code.UNKNOWN_API_KEY)
+        self.assertIs(self.serve().code, Code.UNKNOWN_API_KEY)
 
     def test_headers_pass_where_no_organisations_are_configured(self):
         self.read(value=platform_configuration(None))
