Refuse requests with several API keys

Callers saw: a request with two lines X-Api-Key, a withdrawn key and then a valid one, got 200 as the organisation of the second, on both kinds of route.

Cause: headers were put into a dictionary by name, and the last line stayed.

Change: the lines of this header are joined before the digest is made. Empty lines alone are no key, as before.

--- a/figfold/gateway/apps.py
+++ b/figfold/gateway/apps.py
@@ -19,6 +19,7 @@
     is_end_to_end,
     is_set_by_entry,
     lookup_body,
+    make_lookup,
     parse_request_headers,
     refusal_headers,
 )
@@ -224,8 +225,8 @@
 
 def _read_request(environ, started, body_limit, memory):
     raw_headers = environ[RAW_HEADERS]
-    value_by_name = {name.lower(): value for name, value in raw_headers}
-    head = parse_request_headers(lambda name: value_by_name.get(name.lower()))
+    get = make_lookup(raw_headers)
+    head = parse_request_headers(get)
     # The deadline counts from the arrival of the head; reading the body uses up the caller's time.
     left_s = DEFAULT_TIMEOUT_S if head.time_left_s is None else head.time_left_s
     environ["wsgi.input"].discard_until_s = started + left_s
@@ -234,7 +235,7 @@
         return body
     target = environ[RAW_TARGET]
     method = environ["REQUEST_METHOD"]
-    host = value_by_name.get("host", "")
+    host = get("Host") or ""
     return GatewayRequest(
         request_id=head.request_id,
         method=method,
--- a/figfold/platform/headers.py
+++ b/figfold/platform/headers.py
@@ -104,6 +104,23 @@
     malformed: tuple[str, ...] = ()
 
 
+def make_lookup(headers):
+    """Return a function that returns the value of a header by its name, or None.
+
+    Of several lines with one name the last counts. Those of the API key are joined (RFC 9110, 5.3),
+    since no line alone may decide for which organisation a request runs, and a list is no key.
+
+    Parameters
+    ----------
+    headers : iterable of tuple[str, str]
+    """
+    value_by_name = {name.lower(): value for name, value in headers}
+    keys = [value for name, value in headers if name.lower() == API_KEY.lower()]
+    if any(keys):
+        value_by_name[API_KEY.lower()] = ", ".join(keys)
+    return lambda name: value_by_name.get(name.lower())
+
+
 def parse_request_headers(get):
     """Return the `RequestHeaders` of a request.
 
--- a/test/test_key_processes.py
+++ b/test/test_key_processes.py
@@ -77,14 +77,14 @@
                         self.assertEqual(self.ask(entry, path, fields), (status, told))
 
     # Such requests ran as those of callers without a key wherever the route was open.
-    def test_keys_that_are_withdrawn_moved_or_unknown(self):
+    def test_keys_that_are_withdrawn_moved_unknown_or_repeated(self):
         refused, as_club = [(401, None)] * 2, [(200, "club")] * 2
         without_key = [(401, None), (200, None)]
         self.check({(KEY,): as_club, (): without_key, ("",): without_key, (UNKNOWN_KEY,): refused})
         self.change({"club": {"apiKeys": [KEPT_KEY]}, "other": {"apiKeys": []}})
         self.check({(KEY,): refused, (OTHER_KEY,): refused, (KEPT_KEY,): as_club, (): without_key})
         self.change({"club": {"apiKeys": []}, "other": {"apiKeys": [KEPT_KEY]}})
-        self.check({(KEPT_KEY,): [(200, "other")] * 2, (): without_key})
+        self.check({(KEPT_KEY,): [(200, "other")] * 2, (KEY, KEPT_KEY): refused, (): without_key})
 
     # The requests of an organisation ran as those of callers without a key.
     def test_keys_that_cannot_be_confirmed(self):
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -41,7 +41,11 @@
 from figfold.gateway.store_reader import StoreReader
 from figfold.gateway.store_sync import StoreSync
 from figfold.platform.decoding import StoredRow, decode_configuration
-from figfold.platform.headers import parse_request_headers, with_organisation
+from figfold.platform.headers import (
+    make_lookup,
+    parse_request_headers,
+    with_organisation,
+)
 from figfold.platform.rows import RowBatch
 from figfold.platform.tables import decode_configuration_text, read_operator_rows
 from figfold.wire.messages import KnowledgeReply
@@ -179,6 +183,16 @@
         self.assertNotIn(KEY, repr(head))
         self.assertEqual(parse_request_headers({}.get).key_digest, "")
 
+    # The last line decided, whatever stood before it.
+    def test_several_lines_of_the_key_hold_no_key(self):
+        digests = {key_digest(KEY), key_digest(OTHER_KEY), ""}
+        for lines in ((OTHER_KEY, KEY), (KEY, OTHER_KEY), (KEY, KEY), ("", KEY), (KEY, "")):
+            get = make_lookup([("x-api-key", one) for one in lines])
+            self.assertNotIn(parse_request_headers(get).key_digest, digests, lines)
+        for lines in ((), ("",), ("", "")):
+            get = make_lookup([("X-Api-Key", one) for one in lines])
+            self.assertEqual(parse_request_headers(get).key_digest, "")
+
 
 class HomesTest(unittest.TestCase):
     @given(st.frozensets(st.sampled_from("abc")), st.frozensets(st.sampled_from("abc")))
