Let callers come back whose key moved to another organisation

Callers saw: a request whose key was given to another organisation while it waited, or between two of its attempts, got 401 on a route that needs a key.

Cause: the check before each further send answered with the code of an unknown key whenever the first organisation no longer holds the key.

It isn't sent on under the new name, since the limit, homes and priority of the former organisation admitted it.

--- a/figfold/core/codes.py
+++ b/figfold/core/codes.py
@@ -87,6 +87,7 @@
     HOMES_EXCLUDE = 331
     SERVICE_SHORT = 333
     OVER_LIMIT = 332
+    KEY_MOVED = 334
 
     # Requests attempted at a backend server.
     CONNECT_FAILED = 401
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -248,8 +248,13 @@
         held_by = decision.organisation
         if held_by is not None and held_by.name == self.organisation.name:
             return True
-        is_unconfirmed = decision.access is Access.UNCONFIRMED_KEYS
-        self.last_code = Code.KEYS_UNCONFIRMED if is_unconfirmed else Code.UNKNOWN_API_KEY
+        if decision.access is Access.UNCONFIRMED_KEYS:
+            self.last_code = Code.KEYS_UNCONFIRMED
+        elif held_by is None:
+            self.last_code = Code.UNKNOWN_API_KEY
+        else:
+            # Homes, priority and limits of the other organisation hold from the next arrival on.
+            self.last_code, self.retry_after_s = Code.KEY_MOVED, 0.0
         self._log("key-withdrawn", code=int(self.last_code))
         return False
 
