Spend no retry budget on attempts that the API key forbids

Callers saw: nothing at once; but each hedge or retry of a request whose key had been withdrawn took its part of the budget that all requests of the service share, counted as a retry, and was then not sent.

Cause: the key was checked after the budget, in both places. A refused hedge also set the code and the retry time of the request, whose first attempt was still in progress.

Evidence: the new test found one retry spent for a hedge and one for a retry before, and none after.

Change: the key is checked first, as hedges with a ratio do; while an attempt is in progress, the refusal of another one changes nothing of the request's end.

--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -248,14 +248,16 @@
         held_by = decision.organisation
         if held_by is not None and held_by.name == self.organisation.name:
             return True
+        code, retry_after_s = Code.UNKNOWN_API_KEY, self.retry_after_s
         if decision.access is Access.UNCONFIRMED_KEYS:
-            self.last_code = Code.KEYS_UNCONFIRMED
-        elif held_by is None:
-            self.last_code = Code.UNKNOWN_API_KEY
-        else:
+            code = Code.KEYS_UNCONFIRMED
+        elif held_by is not None:
             # Homes, priority and limits of the other organisation hold from the next arrival on.
-            self.last_code, self.retry_after_s = Code.KEY_MOVED, 0.0
-        self._log("key-withdrawn", code=int(self.last_code))
+            code, retry_after_s = Code.KEY_MOVED, 0.0
+        self._log("key-withdrawn", code=int(code))
+        if not self.attempt_by_id:
+            # An attempt in progress has an end of its own.
+            self.last_code, self.retry_after_s = code, retry_after_s
         return False
 
     def _choose_elsewhere(self, choice, is_hedge, now):
@@ -357,6 +359,8 @@
             return
         if self.runner.quarantine.is_suspect_or_quarantined(self.request.fingerprint, now_s()):
             return
+        if not self._has_access():
+            return
         if self.runner.retry_budget(self.service).try_acquire(entries, now_s()):
             self.runner.metrics.count("retries", reason="hedge")
             self._start_attempt(is_hedge=True)
@@ -478,6 +482,8 @@
         if runner.quarantine.is_quarantined(self.request.fingerprint, now):
             self.last_code = Code.QUARANTINED
             return False
+        if not self._has_access():
+            return False
         if outcome is AttemptOutcome.NOT_SENT and self.last_code is not Code.CONNECT_FAILED:
             return True  # Nothing was sent, so that the attempt costs no retry budget.
         if not runner.retry_budget(self.service).try_acquire(runner.cluster.entry_count(), now):
--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -551,6 +551,25 @@
                 self.assertTrue(1 <= refused <= 3, refused)
                 self.assertEqual(self.count("hedges", result="sent"), 0)
 
+    # Attempts that were not made took up the budget that all requests of the service share.
+    def test_withdrawn_key_costs_no_retry_budget(self):
+        holder = SimpleNamespace(name="o1", priority=None)
+        held = SimpleNamespace(access=Access.ALLOWED, organisation=holder)
+        withdrawn = SimpleNamespace(access=Access.UNKNOWN_KEY, organisation=None)
+        failed = AttemptResult(AttemptOutcome.FAILED, Code.SERVER_RESET, 0.01)
+        for result in (None, failed):
+            with self.subTest(result=result):
+                self.setUp()
+                self.settings.hedge_ratio = 0.0
+                if result is not None:
+                    self.runner.sender.send = lambda *_others, result=result: result
+                decide = Mock(side_effect=(held, withdrawn, withdrawn, withdrawn))
+                with patch.object(RequestRunner, "decide_access", decide):
+                    self.assertTrue(self.execute(self.make_run(organisation=holder))[0].is_err())
+                self.assertFalse(self.runner.retry_budget("stock")._retry_times_s)
+                self.assertEqual(self.count("retries", reason="hedge"), 0)
+                self.assertEqual(self.count("retries", reason="failed"), 0)
+
     def test_rejection_by_a_server_forbids_hedges(self):
         """The first attempt's rejection shows that the service is short of capacity."""
         run = self.make_run(max_attempts=3)
