Withdraw all keys with a configuration that drops the organisations

Cause: a configuration without organisations was taken for a deployment that never had any, in which the two headers pass as any other.

Change: entries keep whether keys are or were in use. They learn it from each configuration and, when they start, from a row of the table that they read anyway to register; the entries that read the store write it once, and again after a restore. Then a key that is sent is checked and both headers are hidden from servers, whatever later configurations have; until the table was read, a request with a key is refused as unconfirmed. Deployments that never had organisations are served as before. A key that comes into use during a request is decided anew, and is not sent again.

make_run of test_gateway_run has a stand-in for the new call of the runner.

--- a/figfold/core/organisations/access.py
+++ b/figfold/core/organisations/access.py
@@ -22,6 +22,14 @@
     UNCONFIRMED_KEYS = "unconfirmed-keys"  # The keys may have been withdrawn meanwhile.
 
 
+class KeyUse(Enum):
+    """Whether a configuration of the deployment has had organisations, the one in force or not."""
+
+    UNUSED = "unused"
+    USED = "used"
+    UNKNOWN = "unknown"  # The entry has not read yet what is recorded of it.
+
+
 @frozen
 class AccessDecision:
     """Decision on a request, and the organisation for which it runs, None for anonymous callers."""
@@ -33,10 +41,12 @@
 ANONYMOUS = AccessDecision(Access.ALLOWED)
 
 
-def decide_access(configuration, route, digest, are_keys_confirmed):
+def decide_access(configuration, route, digest, are_keys_confirmed, key_use=KeyUse.UNUSED):
     """Return the `AccessDecision` for a request.
 
-    A route that allows anonymous callers needs no key, but a key that is sent has to be in force.
+    A route that allows anonymous callers needs no key, and neither does any route without
+    organisations. A key that is sent has to be in force all the same: a configuration that drops
+    the organisations withdraws their keys.
 
     Parameters
     ----------
@@ -46,12 +56,15 @@
         Digest of the request's API key; empty without one.
     are_keys_confirmed : bool
         See `are_keys_confirmed`.
+    key_use : KeyUse
+        Where keys have never been in use, their header is one like any other.
     """
-    if not configuration.has_organisations:
+    has_organisations = configuration.has_organisations
+    if not has_organisations and key_use is KeyUse.UNUSED:
         return ANONYMOUS
-    if not digest and route.allows_anonymous:
+    if not digest and (route.allows_anonymous or not has_organisations):
         return ANONYMOUS
-    if not are_keys_confirmed:
+    if not are_keys_confirmed or (not has_organisations and key_use is KeyUse.UNKNOWN):
         return AccessDecision(Access.UNCONFIRMED_KEYS)
     organisation = configuration.organisation_of(digest)
     if organisation is None:
--- a/figfold/gateway/cluster_view.py
+++ b/figfold/gateway/cluster_view.py
@@ -5,6 +5,7 @@
 from attrs import Factory, define
 from eventlet.event import Event
 
+from figfold.core.organisations.access import KeyUse
 from figfold.core.traffic.configuration import Configuration
 from figfold.core.traffic.fleet import Fleet
 from figfold.core.traffic.limiters import ColdServerLimiter, places_sharing_cold_server
@@ -39,6 +40,8 @@
         Called with each version that comes into force.
     regions_with_room : callable or None
         ``(service) -> set or None``, the regions with room as far as their demand is known.
+    key_use : KeyUse
+        Whether API keys are or were in use.
     """
 
     name: str
@@ -51,6 +54,7 @@
     regions_with_room: object = None
     configuration: Configuration | None = None
     configuration_text: bytes = b""
+    key_use: KeyUse = KeyUse.UNUSED
     servers_read_s: float = -inf
     operator_read_s: float = -inf
     change_event: Event = Factory(Event)
@@ -76,7 +80,13 @@
     def from_config(cls, settings, log, on_configuration):
         """Return an empty view, before anything was read."""
         return cls(
-            settings.name, settings.place, settings.region_by_place, log, Fleet(), on_configuration
+            settings.name,
+            settings.place,
+            settings.region_by_place,
+            log,
+            Fleet(),
+            on_configuration,
+            key_use=KeyUse.UNKNOWN,
         )
 
     # Configuration.
@@ -88,6 +98,8 @@
             return False
         self.configuration = configuration
         self.configuration_text = text
+        if configuration.has_organisations:
+            self.key_use = KeyUse.USED
         self.log.bind(
             version=configuration.version,
             before=known.version if known else None,
@@ -98,6 +110,13 @@
         self.notify_change()
         return True
 
+    def learn_key_use(self, is_recorded):
+        """Learn whether it is recorded that API keys are or were in use."""
+        if is_recorded:
+            self.key_use = KeyUse.USED
+        elif self.key_use is KeyUse.UNKNOWN:
+            self.key_use = KeyUse.UNUSED
+
     def notify_change(self):
         """Wake all waiters for a change of the configuration or of the servers."""
         change_event, self.change_event = self.change_event, Event()
--- a/figfold/gateway/request_run.py
+++ b/figfold/gateway/request_run.py
@@ -171,6 +171,8 @@
     def _start_attempt(self, is_hedge, choice=None):
         if not self._has_access():
             return False
+        # API keys may have come into use while the request waited.
+        self.request = self.runner.hide_key(self.request, self.organisation)
         choice = choice or self._choose()
         now = now_s()
         choice = self._choose_elsewhere(choice, is_hedge, now) or choice
@@ -240,18 +242,17 @@
         self.events.put(AttemptEnded(attempt_id, result))
 
     def _has_access(self):
-        """Return whether the API key is still held by the organisation; else set the code."""
-        if self.organisation is None:
+        """Return whether the request's API key, if any, still allows it; else set the code."""
+        if self.organisation is None and not self.request.key_digest:
             return True
         configuration = self.runner.cluster.configuration
         decision = self.runner.decide_access(configuration, self.route, self.request.key_digest)
-        held_by = decision.organisation
-        if held_by is not None and held_by.name == self.organisation.name:
-            return True
         code, retry_after_s = Code.UNKNOWN_API_KEY, self.retry_after_s
         if decision.access is Access.UNCONFIRMED_KEYS:
             code = Code.KEYS_UNCONFIRMED
-        elif held_by is not None:
+        elif decision.access is not Access.UNKNOWN_KEY:
+            if _name_of(decision.organisation) == _name_of(self.organisation):
+                return True
             # Homes, priority and limits of the other organisation hold from the next arrival on.
             code, retry_after_s = Code.KEY_MOVED, 0.0
         self._log("key-withdrawn", code=int(code))
@@ -597,3 +598,7 @@
         "limit_per_s": head.rate_limit_per_s,
         "pause_s": head.pause_s,
     }
+
+
+def _name_of(organisation):
+    return organisation.name if organisation is not None else None
--- a/figfold/gateway/request_runner.py
+++ b/figfold/gateway/request_runner.py
@@ -9,7 +9,12 @@
 
 from figfold.core.codes import Code
 from figfold.core.hedging.policy import HedgePolicy
-from figfold.core.organisations.access import Access, are_keys_confirmed, decide_access
+from figfold.core.organisations.access import (
+    Access,
+    KeyUse,
+    are_keys_confirmed,
+    decide_access,
+)
 from figfold.core.organisations.organisation import common_homes
 from figfold.core.quotas.limiter import ADMITTED
 from figfold.core.quotas.limits import is_limited
@@ -101,9 +106,7 @@
         )
         if refusal is not None:
             return Err(refusal)
-        if configuration.has_organisations:
-            name = organisation.name if organisation else None
-            request = evolve(request, headers=with_organisation(request.headers, name))
+        request = self.hide_key(request, organisation)
         service = self.splitter.choose(route, request.key if route.is_sticky else "")
         if self.settings.hedge_ratio > 0.0:
             self.hedging.count_request(service, now_s())
@@ -146,7 +149,17 @@
         is_confirmed = are_keys_confirmed(
             self.cluster.operator_age_s(now_s()), self.settings.revocation_bound_s
         )
-        return decide_access(configuration, route, digest, is_confirmed)
+        return decide_access(configuration, route, digest, is_confirmed, self.cluster.key_use)
+
+    def hide_key(self, request, organisation):
+        """Return a request with the organisation's name, if any, in place of its API key.
+
+        Where keys have never been in use, the request is returned as it is.
+        """
+        if self.cluster.key_use is KeyUse.UNUSED:
+            return request
+        name = organisation.name if organisation is not None else None
+        return evolve(request, headers=with_organisation(request.headers, name))
 
     def is_repeatable(self, host, path):
         """Return whether the configuration has a route for the request, which may be repeated."""
--- a/figfold/gateway/store_reader.py
+++ b/figfold/gateway/store_reader.py
@@ -9,11 +9,12 @@
 
 from figfold.core.codes import Code
 from figfold.core.confirmation import StoreHealth
+from figfold.core.organisations.access import KeyUse
 from figfold.core.store_era import EraTracker, era_of, era_start
 from figfold.core.traffic.fleet import FleetUpdate, MissingServer
 from figfold.core.traffic.outage import OutageTracker
 from figfold.entry.clock import now_s
-from figfold.platform.rows import ENTRY_TABLE, OPERATOR_TABLE, SERVER_TABLE
+from figfold.platform.rows import ENTRY_TABLE, KEY_USE_ROW, OPERATOR_TABLE, SERVER_TABLE
 from figfold.platform.tables import read_entry_rows, read_operator_rows, read_server_rows
 
 RETRY_PAUSE_S = 0.2  # Grows by half with each failed call of the store.
@@ -22,6 +23,7 @@
 PEER_CHANGE_WAIT_S = 0.3
 # Age of the operator's rows from which they are read without waiting for a change.
 UNCONFIRMED_S = 0.5
+NO_ERA = -1
 MAX_REPORTED_FAILURES = 100  # Unreadable rows that are remembered as logged.
 # Failed reads of changes after which the whole table is read.
 WHOLE_READ_CODES = frozenset({Code.STORE_HISTORY_LOST, Code.STORE_EARLIER_ERA})
@@ -65,7 +67,9 @@
     _reported_messages: set = field(factory=set)
     _peer_era: int = 0
     # Era in which this entry's row was last written.
-    _registered_era: int = -1
+    _registered_era: int = NO_ERA
+    # Era in which the use of API keys was last recorded; None until the entries' rows were read.
+    _key_use_era: int | None = None
     # Data centres that the store names as evacuated since it was restored, while others may be
     # missing.
     _evacuated_since_restore: frozenset = frozenset()
@@ -299,7 +303,28 @@
         if not self.write_entry_row(name, value):
             return None
         read = self.store.read_table(ENTRY_TABLE)
-        return None if read.is_err() else read_entry_rows(read.ok().rows)
+        if read.is_err():
+            return None
+        rows = read.ok().rows
+        is_recorded = any(row.key == KEY_USE_ROW for row in rows)
+        self.cluster.learn_key_use(is_recorded)
+        self._key_use_era = self.eras.era if is_recorded else NO_ERA
+        return read_entry_rows(rows)
+
+    def lacks_key_use_record(self):
+        """Return whether API keys are or were in use, and the store has no record of it."""
+        is_known = self._key_use_era in (None, self.eras.era)
+        return self.cluster.key_use is KeyUse.USED and not is_known
+
+    def record_key_use(self):
+        """Record in the store that API keys are or were in use.
+
+        An entry that starts while the configuration has no organisations learns it from there.
+        """
+        era = self.eras.era
+        if self.store.write(ENTRY_TABLE, KEY_USE_ROW, b"{}").is_ok():
+            self._key_use_era = era
+            self.log.info("key-use-recorded")
 
     def write_entry_row(self, name, value):
         """Write this entry's row; return whether the store has it."""
@@ -320,7 +345,7 @@
         # The versions of a store without eras can be as large.
         if self.eras.has_eras and era > max(self.eras.era, self._peer_era):
             self._peer_era = era
-            self._registered_era = -1
+            self._registered_era = NO_ERA
             self.on_new_era()
 
     def _report_new_era(self, era, before):
--- a/figfold/gateway/store_sync.py
+++ b/figfold/gateway/store_sync.py
@@ -57,6 +57,8 @@
     _last_snapshot_s: float = float("-inf")
     # Green thread that reads the servers' rows while a peer is asked for them.
     _background_read: object = None
+    # Green thread that records the use of API keys in the store.
+    _recording: object = None
     _asks_left: int = ASKS_AFTER_LATE_ROW
     _late_rows: int = 0
     _era: int = 0
@@ -135,12 +137,20 @@
 
     def _sync_operator_rows(self):
         if self._current_source() == self.settings.name:
-            return self.store_reader.read_operator_changes()
+            pause_s = self.store_reader.read_operator_changes()
+            self._record_key_use()
+            return pause_s
         if self._needs_operator_rows:
             self._needs_operator_rows = False
             self.store_reader.reread_operator_rows()
         return SOURCE_POLL_S
 
+    def _record_key_use(self):
+        """Have the use of API keys recorded in the store, without delaying the next reading."""
+        is_idle = self._recording is None or self._recording.dead
+        if is_idle and self.store_reader.lacks_key_use_record():
+            self._recording = eventlet.spawn(self.store_reader.record_key_use)
+
     def _sync_servers(self):
         started = now_s()
         source = self._current_source()
--- a/figfold/platform/rows.py
+++ b/figfold/platform/rows.py
@@ -20,6 +20,8 @@
 EVACUATION_PREFIX = "evacuate/"
 # Table in which entries register, so that they find each other.
 ENTRY_TABLE = "figfold-entries"
+# Row of that table that records that API keys are or were in use; no entry can have its name.
+KEY_USE_ROW = "record/api-keys"
 PAGE_SIZE = 500
 MAX_CONNECTIONS = 8
 MS_PER_S = 1000
--- a/test/test_gateway_run.py
+++ b/test/test_gateway_run.py
@@ -28,6 +28,7 @@
     runner.selector.choose.return_value = choice
     runner.selector.limit_wait_s.return_value = limit_wait_s
     runner.overflow_limiter.try_acquire.return_value = False
+    runner.hide_key.side_effect = lambda request, _organisation: request
     runner.cluster.regions_with_free_slots.return_value = ()
     request = GatewayRequest(
         request_id="r1",
--- a/test/test_key_processes.py
+++ b/test/test_key_processes.py
@@ -97,6 +97,15 @@
         eventlet.sleep(IN_FORCE_S)
         self.check({(KEY,): [(200, "club")] * 2, (UNKNOWN_KEY,): [(401, None)] * 2})
 
+    # Requests with keys that were taken away ran, and their servers got the keys.
+    def test_keys_after_a_configuration_without_organisations(self):
+        self.change(None)
+        refused, without_key = [(401, None)] * 2, [(200, None)] * 2
+        self.check({(KEY,): refused, (UNKNOWN_KEY,): refused, (): without_key})
+        self.deployment.entries[0].kill()
+        self.start_entry("bne-north")
+        self.check({(KEY,): refused, (): without_key})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -17,6 +17,7 @@
 from figfold.core.organisations.access import (
     REVOCATION_MARGIN_S,
     Access,
+    KeyUse,
     are_keys_confirmed,
     decide_access,
 )
@@ -374,6 +375,37 @@
         self.read(value=platform_configuration(None))
         self.assertEqual(self.serve()[0], "forged")
 
+    # Its keys went on working, and reached the servers.
+    def test_configuration_without_organisations_withdraws_all_keys(self):
+        self.read({"acme": {"apiKeys": [KEY]}})
+        self.read(value=platform_configuration(None, version=8), version=8)
+        for api_key in (KEY, "unknown"):
+            self.assertIs(self.serve(api_key).code, Code.UNKNOWN_API_KEY)
+        self.assertIsNone(self.serve("")[0])
+        self.clock.now_s += 2 * BOUND_S
+        self.assertIs(self.serve().code, Code.KEYS_UNCONFIRMED)
+        self.assertIsNone(self.serve("")[0])
+
+    def test_key_is_unconfirmed_until_it_is_known_whether_keys_were_in_use(self):
+        self.cluster.key_use = KeyUse.UNKNOWN
+        self.read(value=platform_configuration(None))
+        self.assertIs(self.serve().code, Code.KEYS_UNCONFIRMED)
+        self.assertIsNone(self.serve("")[0])
+        self.cluster.learn_key_use(is_recorded=False)
+        self.assertEqual(self.serve()[0], "forged")
+
+    # Its first attempt went to a server before there were organisations; another must not.
+    def test_key_that_came_into_use_during_a_request_is_not_sent_again(self):
+        for number, (keys, code) in enumerate(
+            (([KEY], Code.KEY_MOVED), ([], Code.UNKNOWN_API_KEY))
+        ):
+            self.cluster.key_use = KeyUse.UNUSED
+            version = 7 + 2 * number
+            self.read(value=platform_configuration(None, version), version=version)
+            appear = partial(self.read, {"acme": {"apiKeys": keys}}, version + 1)
+            refusal = self.serve(step=lambda _run, appear=appear: appear())
+            self.assertIs(refusal.code, code)
+
     def test_priority_and_homes_of_the_organisation(self):
         item = {"apiKeys": [KEY], "priority": 0, "homeRegions": ["a", "b"]}
         self.read({"acme": item}, priority=2, homeRegions=["b", "c"])
