Send withdrawn, moved, unknown and no keys in the soak of processes

The soak sent keys in force and former ones, on routes that need a key only, and did not look at wrong refusals. Its callers now send keys in force, former, moved and unknown ones and none, on both kinds of route; keys are withdrawn, given to other organisations, and dropped with all organisations for a second or more. Each run is checked against who held the key when, and each refusal: a 401 for a key that is in force, and any refusal of keys for a caller who sends none on an open route, is a violation. In each run a key is withdrawn and moved, organisations are dropped, and an entry is killed.

The checks of the former soak on keys stand as they were or stricter: what ran must have been held within the bound of the sending, by the organisation that the server was told of.

--- a/test/soak_processes.py
+++ b/test/soak_processes.py
@@ -4,8 +4,9 @@
 refusals twice, end within the head of an answer and send answers that HTTP does not allow. Another
 writer leaves rows among theirs that name no server, and overwrites rows of servers that are up.
 
-Callers may belong to organisations, whose API keys are withdrawn while callers still use them. One
-organisation sends more than its limit.
+Callers may belong to organisations, whose API keys are withdrawn, moved to others, and dropped
+with all organisations for a while. Their requests carry keys in force, former ones, unknown ones or
+none, on routes that need a key and on open ones. One organisation sends more than its limit.
 
 Callers use their open connections until these are closed. Signals, restarts, changes of the
 configuration and outages of the store come in series and overlap.
@@ -27,6 +28,7 @@
 from bench.platform_demo import send_ahead
 from bench.platform_deployment import HOST, PlatformDeployment, ServiceServers, make_configuration
 from standins.broken_answers import MAKERS, pick_answer
+from test.soak_keys import UNKNOWN_KEY, KeyLedger, SentRequest
 
 REGION_BY_PLACE = {"bne-north": "bne", "bne-south": "bne", "tsv-port": "tsv"}
 # Bounds of the platform's rules, in seconds.
@@ -48,8 +50,8 @@
 QUOTA_FACTOR = 1.1
 QUOTA_SLACK = 20
 REVOCATION_BOUND_S = 5.0
-# Of the requests of an organisation, those that carry its former key.
-FORMER_KEY_SHARE = 0.2
+# Time for which the organisations are dropped.
+DROPPED_RANGE_S = (1.0, 3.0)
 # Bounds of the rules on what servers state in their answers.
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
@@ -93,7 +95,11 @@
 def _configuration(version, organisations=None):
     reads = {"kind": "safe", "timeoutS": 1.5, "service": "stockview", "prefix": "/read/"}
     books = {"kind": "non_idempotent", "timeoutS": 1.5, "service": "cutdesk", "prefix": "/book/"}
-    return make_configuration(version, {"read": reads, "book": books}, organisations)
+    open_routes = {
+        f"open-{name}": route | {"prefix": f"/open{route['prefix']}", "allowAnonymous": True}
+        for name, route in (("read", reads), ("book", books))
+    }
+    return make_configuration(version, {"read": reads, "book": books} | open_routes, organisations)
 
 
 @define(eq=False)
@@ -121,10 +127,8 @@
     deployment: PlatformDeployment
     seed: int
     duration_s: float
-    # Former keys of each organisation, the one in force last; empty without organisations.
-    keys_by_organisation: dict = Factory(dict)
-    withdrawn_s_by_key: dict = Factory(dict)
-    # Organisation, key and start of each request.
+    # None without organisations.
+    keys: KeyLedger | None = None
     sent_by_request: dict = Factory(dict)
     random: Random = field(init=False)
     entry_by_name: dict = Factory(dict)
@@ -169,7 +173,7 @@
         options = {}
         if has_organisations:
             names = [f"o{number}" for number in range(ORGANISATIONS)]
-            soak.keys_by_organisation = {one: [f"{one}-key-1"] for one in names}
+            soak.keys = KeyLedger.from_names(names)
             options = {"revocation_bound_s": REVOCATION_BOUND_S}
             soak._write_configuration()
         for place in REGION_BY_PLACE:
@@ -203,12 +207,14 @@
         # Every run has these, at a time when callers have found their servers.
         first = [self._limit, self._pause, self._announce, self._write_all_odd_rows]
         first += [self._send_broken] * 3
+        if self.keys is not None:
+            first += [self._withdraw_key, self._move_key, self._kill, self._drop_keys]
         after_s = 0.0
         while after_s < self.duration_s:
             eventlet.sleep(max(0.0, began_s + after_s - time.monotonic()))
             while first and after_s >= FIRST_NOTICES_S:
-                first.pop(0)()
-            self._draw_event()
+                self._play(first.pop(0))
+            self._play(self._draw_event())
             after_s += self.random.uniform(0.05, 0.6)
 
     def _draw_event(self):
@@ -230,9 +236,12 @@
             self._write_odd_row: 6,
             self._remove_odd_row: 2,
         }
-        if self.keys_by_organisation:
-            weight_by_event[self._withdraw_key] = 4
+        if self.keys is not None:
+            weight_by_event |= {self._withdraw_key: 4, self._move_key: 4, self._drop_keys: 1}
         (event,) = self.random.choices(list(weight_by_event), list(weight_by_event.values()))
+        return event
+
+    def _play(self, event):
         self.counts[event.__name__.strip("_")] += 1
         event()
 
@@ -423,25 +432,39 @@
             self._write_configuration()
 
     def _write_configuration(self):
+        if self.keys is None:
+            self.deployment.rows.put("op", "config", _configuration(self._version))
+            return
         organisations = {
-            name: {"apiKeys": keys[-1:]} for name, keys in self.keys_by_organisation.items()
+            name: {"apiKeys": list(keys)} for name, keys in self.keys.keys_by_organisation.items()
         }
-        if organisations:
-            limit = {"ratePerS": RATE_PER_S, "burst": BURST}
-            organisations[LIMITED_ORGANISATION] |= limit
-        configuration = _configuration(self._version, organisations or None)
-        self.deployment.rows.put("op", "config", configuration)
+        organisations[LIMITED_ORGANISATION] |= {"ratePerS": RATE_PER_S, "burst": BURST}
+        value = _configuration(self._version, None if self.keys.is_dropped else organisations)
+        self.keys.record_write(lambda: self.deployment.rows.put("op", "config", value))
+
+    def _change_keys(self, change):
+        if not self.deployment.rows.is_down:
+            change()
+            self._version += 1
+            self._write_configuration()
 
     def _withdraw_key(self):
-        """Give an organisation another key in place of its former one."""
-        if self.deployment.rows.is_down:
+        self._change_keys(lambda: self.keys.withdraw(self.random))
+
+    def _move_key(self):
+        self._change_keys(lambda: self.keys.move(self.random))
+
+    def _drop_keys(self):
+        """Drop all organisations for a while."""
+        if self.keys.is_dropped or self.deployment.rows.is_down:
             return
-        name = self.random.choice(sorted(self.keys_by_organisation))
-        keys = self.keys_by_organisation[name]
-        keys.append(f"{name}-key-{len(keys) + 1}")
+        self._change_keys(lambda: setattr(self.keys, "is_dropped", True))
+        eventlet.spawn_after(self.random.uniform(*DROPPED_RANGE_S), self._restore_keys)
+
+    def _restore_keys(self):
+        self.keys.is_dropped = False
         self._version += 1
         self._write_configuration()
-        self.withdrawn_s_by_key[keys[-2]] = time.monotonic()
 
     def _stop_store(self):
         if not self.deployment.rows.is_down:
@@ -462,7 +485,7 @@
         sent, connection, entry = 0, None, None
         source = self._random_of(f"caller-{number}")
         while time.monotonic() < self._ends_s:
-            if number % AHEAD_CALLERS == 0 and not self.keys_by_organisation:
+            if number % AHEAD_CALLERS == 0 and self.keys is None:
                 sent += 1
                 self._call_ahead(f"a{number}-{sent}", source)
                 continue
@@ -482,11 +505,10 @@
             eventlet.sleep(PAUSE_S)
 
     def _draw_key(self, request_id, caller, source):
-        if self.keys_by_organisation:
-            name = f"o{caller % ORGANISATIONS}"
-            is_former = source.random() < FORMER_KEY_SHARE
-            key = self.keys_by_organisation[name][-2 if is_former else -1 :][0]
-            self.sent_by_request[request_id] = (name, key, time.monotonic())
+        if self.keys is not None:
+            key = self.keys.draw_key(source, f"o{caller % ORGANISATIONS}")
+            is_open = source.random() < 0.5
+            self.sent_by_request[request_id] = SentRequest(key, is_open, time.monotonic())
 
     def _call_ahead(self, name, source):
         """Send several reads on a new connection before the first is answered."""
@@ -517,17 +539,21 @@
             "Affinity-Key": key,
             "Deadline-Ms": "2000",
         }
-        if request_id in self.sent_by_request:
-            headers |= {"X-Api-Key": self.sent_by_request[request_id][1], "Tenant": "forged"}
         method, path = ("POST", "/book/1") if is_booking else ("GET", "/read/1")
+        sent = self.sent_by_request.get(request_id)
+        if sent is not None:
+            headers |= {"Tenant": "forged"} | ({"X-Api-Key": sent.key} if sent.key else {})
+            path = f"/open{path}" if sent.is_open else path
         status, is_open = CLOSED, False
         try:
             connection.request(method, path, b"x" if is_booking else None, headers)
             response = connection.getresponse()
             body = response.read()
             status = response.status
-            if status in REFUSALS:
-                self.counts[f"code {json.loads(body)['code']}"] += 1
+            code = json.loads(body)["code"] if status in REFUSALS or status == 401 else 0
+            self.counts[f"code {code}"] += bool(code)
+            if sent is not None:
+                self._check_refusal(request_id, sent, status, code)
             if status == 200 and not self._is_sound(request_id, f"{method} {path}", response, body):
                 self.violations.append(f"{request_id} got {body[:80]!r} from {entry.name}")
             is_open = not response.will_close
@@ -600,23 +626,32 @@
                     " after it left"
                 )
 
+    def _check_refusal(self, request_id, sent, status, code):
+        """Check that no caller is refused whose key is in force, or who needs none."""
+        kind = {"": "no key", UNKNOWN_KEY: "unknown key"}.get(sent.key, "key")
+        self.counts[f"{status} for {kind}, {'open' if sent.is_open else 'closed'}"] += 1
+        wrong = self.keys.find_wrong_refusal(
+            sent, status, code, time.monotonic(), REVOCATION_BOUND_S
+        )
+        if wrong:
+            self.violations.append(f"{request_id} got {wrong}")
+
     def _check_organisations(self):
-        """Check what servers were told, and when they ran requests with withdrawn keys."""
+        """Check what servers were told, and whose requests they ran."""
         arrivals_s = []
         for endpoint in self.deployment.endpoint_by_id.values():
             for _, headers, _ in endpoint.heads:
                 request_id = headers.get("attempt-id")
                 if request_id not in self.sent_by_request or not endpoint.runs[request_id]:
                     continue
-                name, key, sent_s = self.sent_by_request[request_id]
-                if headers.get("tenant") != name or "x-api-key" in headers:
-                    self.violations.append(f"{request_id} of {name} ran as {headers.get('tenant')}")
-                late_s = sent_s - self.withdrawn_s_by_key.get(key, inf)
-                self.counts["withdrawn keys used"] += late_s > 0.0
-                if late_s > REVOCATION_BOUND_S:
-                    self.violations.append(f"{request_id} ran {late_s:.1f} s after {key} went")
-                if name == LIMITED_ORGANISATION:
-                    arrivals_s.append(endpoint.arrived_s_by_request[request_id])
+                arrived_s = endpoint.arrived_s_by_request[request_id]
+                wrong = self.keys.find_wrong_run(
+                    self.sent_by_request[request_id], headers, arrived_s, REVOCATION_BOUND_S
+                )
+                if wrong:
+                    self.violations.append(f"{request_id} at {endpoint.id}: {wrong}")
+                if headers.get("tenant") == LIMITED_ORGANISATION:
+                    arrivals_s.append(arrived_s)
         arrivals_s.sort()
         most = (RATE_PER_S * QUOTA_WINDOW_S + BURST) * QUOTA_FACTOR + QUOTA_SLACK
         for start_s in arrivals_s:
--- a/test/test_gateway_leaving.py
+++ b/test/test_gateway_leaving.py
@@ -249,8 +249,22 @@
     def test_keys_and_limits_hold_while_entries_come_and_go(self):
         violations, counts = soak_processes.play(PROCESS_SOAK_SEED, has_organisations=True)
         self.assertEqual(violations, [])
-        for checked in (200, 401, 429, "withdraw_key", "terminate", "kill"):
+        for checked in (
+            200,
+            401,
+            429,
+            "withdraw_key",
+            "move_key",
+            "drop_keys",
+            "terminate",
+            "kill",
+        ):
             self.assertGreater(counts[checked], 0, (checked, dict(counts)))
+        for route in ("open", "closed"):
+            for answer in ("200 for key", "401 for key", "401 for unknown key"):
+                self.assertGreater(counts[f"{answer}, {route}"], 0, dict(counts))
+        self.assertGreater(counts["200 for no key, open"], 0, dict(counts))
+        self.assertGreater(counts["401 for no key, closed"], 0, dict(counts))
 
 
 if __name__ == "__main__":
