Tell in the metric of confirmed keys what requests with keys get

The metric keys_confirmed said 1 without organisations in the configuration, although requests with keys are refused as unconfirmed there when the readings are too old, or while an entry does not know yet whether keys were in use. It goes by the use of keys now. Look-ups are as before: an entry leaves them only where all callers need a key that it can't confirm.

test_open_route_keeps_an_entry_in_look_ups... checks both for each use of keys; it failed for USED and UNKNOWN without organisations before.

--- a/figfold/gateway/process.py
+++ b/figfold/gateway/process.py
@@ -13,7 +13,7 @@
 from figfold.core.members import NEWS_LIMIT, Members
 from figfold.core.model import EntryReport, Instance, Role, ServiceLoad
 from figfold.core.names import is_name
-from figfold.core.organisations.access import are_keys_confirmed
+from figfold.core.organisations.access import KeyUse, are_keys_confirmed
 from figfold.core.quarantine import Quarantine
 from figfold.core.regions.balancer import STEP_S
 from figfold.core.traffic.configuration import CallerLimits
@@ -381,15 +381,15 @@
     def _serves_keys(self):
         """Return whether this entry is of use to callers, as far as API keys are concerned."""
         configuration = self.cluster.configuration
-        if configuration is not None and configuration.has_anonymous_routes:
+        if configuration is None or not configuration.has_organisations:
             return True
-        return self._confirms_keys()
+        return configuration.has_anonymous_routes or self._confirms_keys()
 
     def _confirms_keys(self):
         """Return whether requests with API keys are not refused as unconfirmed."""
-        configuration = self.cluster.configuration
-        if configuration is None or not configuration.has_organisations:
-            return True
+        key_use = self.cluster.key_use
+        if key_use is not KeyUse.USED:
+            return key_use is KeyUse.UNUSED
         return are_keys_confirmed(
             self.cluster.operator_age_s(now_s()), self.settings.revocation_bound_s
         )
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -551,6 +551,7 @@
     # The metric told operators that keys were confirmed wherever one route was open.
     def test_open_route_keeps_an_entry_in_look_ups_and_confirms_no_key(self):
         cluster = self.make_view({})
+        cluster.key_use = KeyUse.USED
         process = SimpleNamespace(
             cluster=cluster, settings=SimpleNamespace(revocation_bound_s=BOUND_S)
         )
@@ -559,6 +560,11 @@
             cluster.configuration = decode({"acme": {"apiKeys": [KEY]}}, allowAnonymous=is_open)
             self.assertFalse(process._confirms_keys())
             self.assertEqual(GatewayProcess._serves_keys(process), is_open)
+        cluster.configuration = decode(None)
+        for key_use in KeyUse:
+            cluster.key_use = key_use
+            self.assertEqual(process._confirms_keys(), key_use is KeyUse.UNUSED)
+            self.assertTrue(GatewayProcess._serves_keys(process))
 
 
 class LogTest(unittest.TestCase):
