--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -21,7 +21,6 @@
 from figfold.entry.request_types import ServerAnswer
 from figfold.gateway.apps import _status
 from figfold.gateway.cluster_view import ClusterView
-from figfold.gateway.requests import GatewayRequest
 from figfold.gateway.sender import AttemptResult
 from figfold.gateway.store_reader import StoreReader
 from figfold.platform.headers import make_lookup, parse_request_headers
@@ -127,20 +126,8 @@
         self.sent.clear()
         self.runner.selector = FakeSelector()
         lines = [("Host", "h"), ("tenant", "forged"), *(("x-api-key", one) for one in key_lines)]
-        request = GatewayRequest(
-            request_id="r1",
-            method="GET",
-            target="/a/1",
-            host="h",
-            path="/a/1",
-            headers=tuple(lines),
-            body=b"",
-            arrived_s=self.clock.now_s,
-            caller_deadline_s=self.clock.now_s + 4.0,
-            key="k",
-            fingerprint="f",
-            key_digest=parse_request_headers(make_lookup(lines)).key_digest,
-        )
+        head = parse_request_headers(make_lookup(lines))
+        request = self.make_request(tuple(lines), head.key_digest)
         served = self.runner.serve(request, lambda _on_gone: lambda: None)
         status = served.ok().status if served.is_ok() else int(_status(served.err()).split()[0])
         fields = [tuple(one for one in headers if one[0] != "Host") for headers in self.sent]
--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -316,23 +316,28 @@
         self.store.takes_s = takes_s
         self.reader.read_operator_changes()
 
-    def serve(self, api_key=KEY, step=lambda _run: None):
-        """Serve a request; return the organisation that it ran for, or the failure."""
-        request = GatewayRequest(
+    def make_request(self, headers, digest):
+        """Return a request with headers and the digest of an API key."""
+        return GatewayRequest(
             request_id="r1",
             method="GET",
             target="/a/1",
             host="h",
             path="/a/1",
-            headers=(("X-Api-Key", api_key), ("Tenant", "forged")),
+            headers=headers,
             body=b"",
             arrived_s=self.clock.now_s,
             caller_deadline_s=self.clock.now_s + 4.0,
             key="k",
             fingerprint="f",
-            key_digest=key_digest(api_key),
+            key_digest=digest,
         )
 
+    def serve(self, api_key=KEY, step=lambda _run: None):
+        """Serve a request; return the organisation that it ran for, or the failure."""
+        headers = (("X-Api-Key", api_key), ("Tenant", "forged"))
+        request = self.make_request(headers, key_digest(api_key))
+
         def execute(run):
             step(run)
             if not run._has_access():
